--- /dev/null
+++ b/chiverun/__init__.py
@@ -0,0 +1,3 @@
+"""Global traffic steering driven by numbered change tickets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/chiverun/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: ``python -m chiverun``."""
+
+from chiverun.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chiverun/core/settings.py
@@ -0,0 +1,179 @@
+"""INI settings of one instance, read and checked."""
+
+import configparser
+import dataclasses
+import ipaddress
+import pathlib
+from typing import Any
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.core.ids import Address
+from chiverun.core.ids import InstanceId
+from chiverun.core.ids import ZoneName
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Settings of one instance; addresses are ``ip:port``."""
+
+    # [instance]
+    name: InstanceId
+    zone: ZoneName
+    lookup_address: Address
+    entry_address: Address
+    forward_address: Address
+    peer_address: Address
+    # [peers]
+    seeds: tuple[Address, ...]
+    # [platform]
+    store: Address
+    instance_list: Address | None = None
+    store_timeout_ms: int = 2000
+    # [limits]
+    entry_threads: int = 40
+    forward_threads: int = 40
+    lookup_threads: int = 4
+    # [lookup]
+    ttl_s: float = 2.0
+    # [telemetry]
+    trace_ratio: float = 0.01
+    log_level: str = "INFO"
+
+
+_LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
+_SECTIONS = {
+    "instance": (
+        "name",
+        "zone",
+        "lookup_address",
+        "entry_address",
+        "forward_address",
+        "peer_address",
+    ),
+    "peers": ("seeds",),
+    "platform": ("store", "instance_list", "store_timeout_ms"),
+    "limits": ("entry_threads", "forward_threads", "lookup_threads"),
+    "lookup": ("ttl_s",),
+    "telemetry": ("trace_ratio", "log_level"),
+}
+_ADDRESSES = {
+    "lookup_address",
+    "entry_address",
+    "forward_address",
+    "peer_address",
+    "store",
+    "instance_list",
+}
+_COUNTS = {
+    "store_timeout_ms": (10, 60000),
+    "entry_threads": (1, 512),
+    "forward_threads": (1, 512),
+    "lookup_threads": (1, 64),
+}
+_FRACTIONS = {"ttl_s": (0.1, 3600.0), "trace_ratio": (0.0, 1.0)}
+
+
+def read_settings(path: str | pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    ChiverunError
+        FILE_NOT_READABLE, SETTING_UNKNOWN, SETTING_MISSING or
+        SETTING_INVALID, naming section, key, bad value and valid ones.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as stream:
+            parser.read_file(stream)
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ChiverunError(
+            ResultCode.FILE_NOT_READABLE, f"settings file {path}: {exc}"
+        ) from exc
+    except configparser.Error as exc:
+        reason = str(exc).replace("\n", " ")
+        raise ChiverunError(
+            ResultCode.SETTING_INVALID, f"settings file {path}: {reason}"
+        ) from exc
+    return _checked(parser)
+
+
+def _checked(parser: configparser.ConfigParser) -> Settings:
+    values: dict[str, Any] = {}
+    for section in parser.sections():
+        if section not in _SECTIONS:
+            raise ChiverunError(
+                ResultCode.SETTING_UNKNOWN,
+                f"section [{section}] is unknown; valid: "
+                f"{', '.join(_SECTIONS)}",
+            )
+        for key, text in parser.items(section):
+            values[key] = _value(section, key, text.strip())
+    for section, keys in _SECTIONS.items():
+        for key in keys:
+            if key not in values and _is_required(key):
+                raise ChiverunError(
+                    ResultCode.SETTING_MISSING,
+                    f"[{section}] {key} is required",
+                )
+    return Settings(**values)
+
+
+def _is_required(key: str) -> bool:
+    field = next(f for f in dataclasses.fields(Settings) if f.name == key)
+    return field.default is dataclasses.MISSING
+
+
+def _value(section: str, key: str, text: str) -> Any:
+    if key not in _SECTIONS[section]:
+        raise ChiverunError(
+            ResultCode.SETTING_UNKNOWN,
+            f"[{section}] {key} is unknown; valid: "
+            f"{', '.join(_SECTIONS[section])}",
+        )
+    where = f"[{section}] {key}"
+    if key == "seeds":
+        parts = [part.strip() for part in text.split(",")]
+        return tuple(_address(where, part) for part in parts if part)
+    if key in _ADDRESSES:
+        return _address(where, text)
+    if key in _COUNTS:
+        return _number(where, text, int, *_COUNTS[key])
+    if key in _FRACTIONS:
+        return _number(where, text, float, *_FRACTIONS[key])
+    if key == "log_level" and text not in _LOG_LEVELS:
+        raise _invalid(where, text, f"one of {', '.join(_LOG_LEVELS)}")
+    if not text:
+        raise _invalid(where, text, "a name of at least one character")
+    return text
+
+
+def _address(where: str, text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) < 65536
+    except ValueError:
+        valid = False
+    if not valid:
+        raise _invalid(where, text, "IP:PORT, such as 127.0.0.1:8080")
+    return Address(text)
+
+
+def _number(
+    where: str, text: str, kind: type, low: float, high: float
+) -> float:
+    try:
+        number = kind(text)
+    except ValueError:
+        number = None
+    if number is None or not low <= number <= high:
+        raise _invalid(where, text, f"{kind.__name__} from {low} to {high}")
+    return number
+
+
+def _invalid(where: str, text: str, valid: str) -> ChiverunError:
+    return ChiverunError(
+        ResultCode.SETTING_INVALID, f"{where} is {text!r}; valid: {valid}"
+    )
--- /dev/null
+++ b/chiverun/core/snapshot.py
@@ -0,0 +1,69 @@
+"""What the request path reads: one immutable value published each tick."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from chiverun.core.ids import Address
+from chiverun.core.ids import InstanceId
+from chiverun.core.ids import RegionName
+from chiverun.core.ids import SeatIndex
+from chiverun.core.ids import ServerName
+from chiverun.core.ids import ServiceName
+from chiverun.core.ids import ZoneName
+from chiverun.core.state import State
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryAddresses:
+    """Where an instance listens, as ``ip:port``."""
+
+    instance: InstanceId
+    lookup: Address
+    entry: Address
+    forward: Address
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ZoneView:
+    """What is known of a zone.
+
+    `room` is the number of free slots by service at `measured_at`
+    (monotonic seconds of this instance).
+    """
+
+    zone: ZoneName
+    region: RegionName
+    instances: tuple[EntryAddresses, ...]
+    room: Mapping[ServiceName, int]
+    measured_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeldSeat:
+    """A seat this instance holds.
+
+    Its short-class slots open at `short_from` and its long-class slots at
+    `long_from` (monotonic seconds), when no work of an earlier holder can
+    still be running.
+    """
+
+    index: SeatIndex
+    short_from: float
+    long_from: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Snapshot:
+    """The published view; `published_at` is monotonic seconds.
+
+    `leaving_servers` are servers that may get no new work whatever the
+    ticket says. `confirmed` is False while seats are suspended.
+    """
+
+    state: State
+    published_at: float
+    zones: Mapping[ZoneName, ZoneView]
+    seats: tuple[HeldSeat, ...]
+    confirmed: bool
+    leaving: bool
+    leaving_servers: frozenset[ServerName]
--- /dev/null
+++ b/chiverun/core/ticket.py
@@ -0,0 +1,203 @@
+"""Change tickets: their records, and reading them from TOML.
+
+A ticket lists the whole new state of every object it touches. An object is
+one record of a kind below, identified by kind and name.
+"""
+
+import enum
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.core.ids import Address
+from chiverun.core.ids import RegionName
+from chiverun.core.ids import ServerName
+from chiverun.core.ids import ServiceName
+from chiverun.core.ids import SiteName
+from chiverun.core.ids import TicketNumber
+from chiverun.core.ids import ZoneName
+
+
+class Length(enum.Enum):
+    """Expected running time of a request class."""
+
+    SHORT = "short"
+    LONG = "long"
+
+
+class ServerState(enum.Enum):
+    """Whether a backend server may receive new work."""
+
+    ACTIVE = "active"
+    DRAIN = "drain"
+
+
+class ShiftState(enum.Enum):
+    """Whether a shift moves requests."""
+
+    ACTIVE = "active"
+    ENDED = "ended"
+
+
+class _Record(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    pass
+
+
+class Region(_Record):
+    """A region; `in_flight_max` caps requests in flight in it (0: none)."""
+
+    name: RegionName
+    in_flight_max: int = 0
+
+
+class Zone(_Record):
+    """An availability zone; `seats` is the number of shares it is cut in."""
+
+    name: ZoneName
+    region: RegionName
+    seats: int = 12
+
+
+class Link(_Record):
+    """The link from one region to another, in one direction."""
+
+    name: str
+    source: RegionName
+    target: RegionName
+    mbit_per_s: float
+
+
+class RequestClass(_Record):
+    """How requests of a service that match a rule are handled.
+
+    A request matches by method and path prefix (the part of the path after
+    ``/s/<service>``); the first matching class counts.
+    """
+
+    name: str
+    methods: tuple[str, ...]
+    path_prefix: str = "/"
+    repeatable: bool = False
+    length: Length = Length.SHORT
+    attempts: int = 1
+    deadline_ms: int = 2000
+    answer_bytes_max: int = 65536
+
+
+class Service(_Record):
+    """A service and its request classes, in order of matching."""
+
+    name: ServiceName
+    classes: tuple[RequestClass, ...]
+
+
+class Server(_Record):
+    """A backend server; `long_slots` of its slots may carry long requests."""
+
+    name: ServerName
+    service: ServiceName
+    zone: ZoneName
+    address: Address
+    slots: int
+    long_slots: int = 1
+    connections_max: int = 330
+    state: ServerState = ServerState.ACTIVE
+
+
+class Site(_Record):
+    """Client blocks (CIDR) and the zone that serves them."""
+
+    name: SiteName
+    zone: ZoneName
+    blocks: tuple[str, ...] = ()
+
+
+class Shift(_Record):
+    """Moves `fraction` of a service's requests from source to target.
+
+    At most `cap_per_s` requests are moved in any second by all instances
+    together. Each step of growth is followed by `warm_s` seconds of rest.
+    """
+
+    name: str
+    service: ServiceName
+    source: RegionName
+    target: RegionName
+    fraction: float
+    cap_per_s: int
+    warm_s: float = 5.0
+    state: ShiftState = ShiftState.ACTIVE
+
+
+class Removal(_Record):
+    """Removes the object of this kind and name."""
+
+    kind: str
+    name: str
+
+
+class Ticket(_Record):
+    """A numbered change ticket."""
+
+    number: TicketNumber
+    reason: str
+    author: str
+    region: tuple[Region, ...] = ()
+    zone: tuple[Zone, ...] = ()
+    link: tuple[Link, ...] = ()
+    service: tuple[Service, ...] = ()
+    server: tuple[Server, ...] = ()
+    site: tuple[Site, ...] = ()
+    shift: tuple[Shift, ...] = ()
+    remove: tuple[Removal, ...] = ()
+
+
+# Kinds in the order in which references between them are resolved.
+KINDS: dict[str, type[_Record]] = {
+    "region": Region,
+    "zone": Zone,
+    "link": Link,
+    "service": Service,
+    "server": Server,
+    "site": Site,
+    "shift": Shift,
+}
+
+StateObject = Region | Zone | Link | Service | Server | Site | Shift
+T = TypeVar("T")
+
+
+def read_ticket(text: bytes) -> Ticket:
+    """Read a ticket from TOML.
+
+    Raises
+    ------
+    ChiverunError
+        TICKET_MALFORMED naming the field and the valid values.
+    """
+    return _decoded(msgspec.toml.decode, text, Ticket)
+
+
+def encode_ticket(ticket: Ticket) -> bytes:
+    """Encode a ticket for the store and for peers (MessagePack)."""
+    return msgspec.msgpack.encode(ticket)
+
+
+def decode_ticket(data: bytes) -> Ticket:
+    """Decode what `encode_ticket` made; raises TICKET_MALFORMED."""
+    return _decoded(msgspec.msgpack.decode, data, Ticket)
+
+
+def _decoded(decode: Any, data: bytes, kind: type[T]) -> T:
+    try:
+        return decode(data, type=kind)
+    except (msgspec.DecodeError, ValueError) as exc:
+        reason = str(exc).replace("\n", " ")
+        raise ChiverunError(
+            ResultCode.TICKET_MALFORMED, f"ticket: {reason}"
+        ) from exc
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the one-file program dist/chiverun (a zip application by shiv).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin="$(scripts/setup.sh)"
+mkdir -p dist
+"$bin/shiv" -q --compressed -p '/usr/bin/env python3' \
+  -e chiverun.cli:main -o dist/chiverun --no-modify . >&2 2>/dev/null \
+  || "$bin/shiv" --compressed -p '/usr/bin/env python3' \
+  -e chiverun.cli:main -o dist/chiverun .
+echo "dist/chiverun"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Checks formatting and lint rules; `scripts/lint.sh --fix` applies them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin="$(scripts/setup.sh)"
+paths=(chiverun standins tests)
+if [ "${1:-}" = --fix ]; then
+  "$bin/ruff" check -q --fix "${paths[@]}" || true
+  "$bin/ruff" format -q "${paths[@]}"
+fi
+"$bin/ruff" format --check "${paths[@]}"
+"$bin/ruff" check "${paths[@]}"
+"$bin/flake8" "${paths[@]}"
