Count test outcomes through nose2's hook

Cause: nose2's result object keeps no lists of failures. Change: a testOutcome hook collects passed, failed and skipped test ids.

--- a/tests/run.py
+++ b/tests/run.py
@@ -13,6 +13,24 @@
 _KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
+class _Outcomes:
+    """Collects test ids by outcome through nose2's testOutcome hook."""
+
+    def __init__(self) -> None:
+        self.passed: list[str] = []
+        self.failed: list[str] = []
+        self.skipped: list[str] = []
+
+    def testOutcome(self, event) -> None:
+        name = event.test.id().partition("\n")[0]
+        if event.outcome == "skipped":
+            self.skipped.append(name)
+        elif event.outcome == "passed" and event.expected:
+            self.passed.append(name)
+        else:
+            self.failed.append(name)
+
+
 def _known_red() -> set[str]:
     """Return the ids of the tests named by lines ``test: <id>``."""
     if not _KNOWN_RED.exists():
@@ -26,25 +44,25 @@
 
 
 def _run(names: list[str]) -> int:
-    argv = ["nose2", "-v", *names]
-    result = PluggableTestProgram(module=None, argv=argv, exit=False).result
-    failing = [
-        test.id().partition("\n")[0]
-        for test, _ in result.failures + result.errors
-    ]
-    failing += [test.id() for test in result.unexpectedSuccesses]
+    outcomes = _Outcomes()
+    program = PluggableTestProgram(
+        module=None,
+        argv=["nose2", "-v", *names],
+        exit=False,
+        extraHooks=[("testOutcome", outcomes)],
+    )
     known = _known_red()
-    red = [name for name in failing if name in known]
+    red = [name for name in outcomes.failed if name in known]
     for name in red:
         print(f"known red: {name}")
-    if not names:
-        for name in sorted(known - set(failing)):
-            print(f"listed in KNOWN-RED.txt but not failing: {name}")
-    skipped = len(result.skipped)
-    passed = result.testsRun - len(failing) - skipped
-    sys.stdout.flush()
-    print(f"{max(passed, 0)} passed, {len(failing)} failed")
-    return 1 if len(failing) > len(red) or result.testsRun == 0 else 0
+    for name in sorted(known.intersection(outcomes.passed)):
+        print(f"listed in KNOWN-RED.txt but passed: {name}")
+    print(f"{len(outcomes.passed)} passed, {len(outcomes.failed)} failed")
+    if not outcomes.passed:
+        return 1
+    if len(outcomes.failed) > len(red):
+        return 1
+    return 0 if program.result.wasSuccessful() or red else 1
 
 
 if __name__ == "__main__":
