--- /dev/null
+++ b/chiverun/core/dissemination.py
@@ -0,0 +1,127 @@
+"""What messages carry: adverts, drain signs and tickets.
+
+Anti-entropy: each ping and acknowledgement carries the ticket number, so
+that any exchange shows who is behind; announcements only make it faster.
+"""
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from chiverun.core.ids import ZoneName
+from chiverun.core.messages import Advert
+from chiverun.core.messages import DrainSign
+from chiverun.core.messages import StateChunk
+from chiverun.core.state import encode_state
+from chiverun.core.state import State
+from chiverun.core.tables import DrainTable
+from chiverun.core.tables import Member
+from chiverun.core.tables import MemberTable
+
+if TYPE_CHECKING:
+    from chiverun.core.ticketlog import Entry
+
+ADVERTS_PER_MESSAGE = 6
+# Adverts older than this are not passed on.
+ADVERT_MAX_AGE_S = 10.0
+ANNOUNCE_IN_ZONE = 3
+ANNOUNCE_REMOTE = 1
+ENTRIES_PER_MESSAGE = 64
+CHUNK_BYTES = 256 * 1024
+DRAIN_SIGN_S = 10.0
+DRAIN_SIGNS_PER_MESSAGE = 16
+
+
+def select_adverts(
+    members: MemberTable, now: float, rng: random.Random
+) -> tuple[Advert, ...]:
+    """Choose adverts of other instances to pass on, with their age."""
+    fresh = [
+        m
+        for m in members.rows.values()
+        if m.advert is not None
+        and m.is_live
+        and now - m.measured_at <= ADVERT_MAX_AGE_S
+    ]
+    chosen = rng.sample(fresh, min(ADVERTS_PER_MESSAGE, len(fresh)))
+    return tuple(
+        msgspec.structs.replace(
+            m.advert, age_ms=max(0, int((now - m.measured_at) * 1000))
+        )
+        for m in chosen
+    )
+
+
+def select_remote(
+    members: MemberTable, zone: ZoneName, rng: random.Random
+) -> Member | None:
+    """Choose a member of another zone, each zone with equal chance."""
+    by_zone: dict[ZoneName, list[Member]] = {}
+    for row in members.rows.values():
+        if row.zone != zone:
+            by_zone.setdefault(row.zone, []).append(row)
+    if not by_zone:
+        return None
+    return rng.choice(by_zone[rng.choice(sorted(by_zone))])
+
+
+def announce_targets(
+    members: MemberTable, zone: ZoneName, rng: random.Random
+) -> list[Member]:
+    """Choose the members that are told of a new ticket at once."""
+    local = members.live_in_zone(zone)
+    targets = rng.sample(local, min(ANNOUNCE_IN_ZONE, len(local)))
+    for _ in range(ANNOUNCE_REMOTE):
+        remote = select_remote(members, zone, rng)
+        if remote is not None:
+            targets.append(remote)
+    return targets
+
+
+def entries_after(recent: list["Entry"], number: int) -> list["Entry"] | None:
+    """Return the tickets that follow a number, or None if some are gone."""
+    following = [e for e in recent if e.number > number]
+    if not following or following[0].number != number + 1:
+        return None
+    return following[:ENTRIES_PER_MESSAGE]
+
+
+def state_chunks(state: State) -> list[StateChunk]:
+    """Cut a whole state into messages."""
+    data = encode_state(state)
+    parts = [
+        data[i : i + CHUNK_BYTES] for i in range(0, len(data), CHUNK_BYTES)
+    ]
+    return [
+        StateChunk(
+            number=state.number,
+            digest=state.digest,
+            index=index,
+            total=len(parts),
+            data=part,
+        )
+        for index, part in enumerate(parts)
+    ]
+
+
+def merge_drain_signs(
+    table: DrainTable, signs: tuple[DrainSign, ...], now: float
+) -> None:
+    """Take over drain signs of other instances."""
+    for sign in signs:
+        until = now + DRAIN_SIGN_S - sign.age_ms / 1000.0
+        if until > max(now, table.until.get(sign.server, 0.0)):
+            table.until[sign.server] = until
+
+
+def select_drain_signs(table: DrainTable, now: float) -> tuple[DrainSign, ...]:
+    """Return the drain signs to pass on, newest first."""
+    newest = sorted(table.until.items(), key=lambda item: -item[1])
+    return tuple(
+        DrainSign(
+            server=server, age_ms=int((now + DRAIN_SIGN_S - until) * 1000)
+        )
+        for server, until in newest[:DRAIN_SIGNS_PER_MESSAGE]
+        if until > now
+    )
--- /dev/null
+++ b/chiverun/core/idempotency.py
@@ -0,0 +1,209 @@
+"""Idempotency keys issued by one process lifetime of an instance.
+
+Only the process that issued a key runs its request. The table is in memory:
+when the process ends, its keys can never run again, and other instances
+answer that their outcome is unknown.
+"""
+
+import collections
+import dataclasses
+import enum
+import secrets
+import threading
+from typing import TYPE_CHECKING
+
+from chiverun.core.errors import Outcome
+from chiverun.core.errors import ResultCode
+from chiverun.core.ids import IdempotencyKey
+from chiverun.core.ids import InstanceId
+from chiverun.core.ids import LifeId
+
+if TYPE_CHECKING:
+    from chiverun.core.clock import Clock
+
+KEY_LIFETIME_S = 600.0
+KEYS_MAX = 100_000
+STORED_BYTES_MAX = 16 * 1024 * 1024
+_SEPARATOR = "~"
+
+
+class _KeyState(enum.Enum):
+    ISSUED = "issued"
+    RUNNING = "running"
+    FINISHED = "finished"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoredResult:
+    """The response to a request with a key, kept for repeats."""
+
+    outcome: Outcome
+    code: ResultCode
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Run:
+    """The caller of `begin` must run the request and call `finish`."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Replay:
+    """The request has finished; its stored result is the response."""
+
+    result: StoredResult
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refuse:
+    """The key cannot be used; `outcome` says what is known of its request."""
+
+    outcome: Outcome
+    code: ResultCode
+
+
+Begin = Run | Replay | Refuse
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeyParts:
+    """The issuer named by a key."""
+
+    instance: InstanceId
+    life: LifeId
+
+
+def parse_key(key: str) -> KeyParts | None:
+    """Return the issuer of a key, or None if it is malformed."""
+    parts = key.split(_SEPARATOR)
+    if len(parts) != 3 or not all(parts):
+        return None
+    return KeyParts(instance=InstanceId(parts[0]), life=LifeId(parts[1]))
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Row:
+    issued_at: float
+    state: _KeyState = _KeyState.ISSUED
+    fingerprint: str = ""
+    result: StoredResult | None = None
+
+
+class KeyTable:
+    """Thread-safe table of the keys issued by this process.
+
+    Parameters
+    ----------
+    instance, life
+        The issuer; both are part of each key.
+    clock : Clock
+        Keys expire KEY_LIFETIME_S monotonic seconds after their issue.
+    """
+
+    def __init__(
+        self, *, instance: InstanceId, life: LifeId, clock: "Clock"
+    ) -> None:
+        self._instance = instance
+        self._life = life
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._rows: collections.OrderedDict[IdempotencyKey, _Row] = (
+            collections.OrderedDict()
+        )
+        self._stored_bytes = 0
+
+    def issue(self, count: int) -> list[IdempotencyKey]:
+        """Issue keys; fewer than `count` when the table is full."""
+        now = self._clock.monotonic()
+        with self._changed:
+            self._expire(now)
+            count = min(count, KEYS_MAX - len(self._rows))
+            keys = [self._new_key() for _ in range(count)]
+            for key in keys:
+                self._rows[key] = _Row(issued_at=now)
+        return keys
+
+    def begin(
+        self, key: IdempotencyKey, fingerprint: str, *, wait_until: float
+    ) -> Begin:
+        """Decide what to do with a request that carries a key.
+
+        Waits while another thread runs the same key, until `wait_until`
+        (monotonic seconds).
+        """
+        with self._changed:
+            self._expire(self._clock.monotonic())
+            row = self._rows.get(key)
+            if row is None:
+                return _unlisted(key, self._life)
+            if row.fingerprint not in ("", fingerprint):
+                # This request itself did not run; the key's own one may have.
+                return Refuse(
+                    outcome=Outcome.NOT_RUN, code=ResultCode.KEY_REUSED
+                )
+            row.fingerprint = fingerprint
+            while row.state is _KeyState.RUNNING:
+                left = wait_until - self._clock.monotonic()
+                if left <= 0 or not self._changed.wait(left):
+                    return Refuse(
+                        outcome=Outcome.UNKNOWN,
+                        code=ResultCode.KEY_IN_PROGRESS,
+                    )
+            if row.state is _KeyState.FINISHED and row.result is not None:
+                return Replay(result=row.result)
+            row.state = _KeyState.RUNNING
+            return Run()
+
+    def finish(self, key: IdempotencyKey, result: StoredResult) -> None:
+        """Record the result; a proven NOT_RUN makes the key usable again."""
+        with self._changed:
+            row = self._rows.get(key)
+            if row is not None and row.state is _KeyState.RUNNING:
+                if result.outcome is Outcome.NOT_RUN:
+                    row.state = _KeyState.ISSUED
+                else:
+                    row.state = _KeyState.FINISHED
+                    row.result = self._bounded(result)
+            self._changed.notify_all()
+
+    def _bounded(self, result: StoredResult) -> StoredResult:
+        """Drop the body when the table's memory for bodies is used up."""
+        size = len(result.body)
+        if self._stored_bytes + size > STORED_BYTES_MAX:
+            return dataclasses.replace(
+                result,
+                code=ResultCode.KEY_ANSWER_GONE,
+                status=410,
+                headers=(),
+                body=b"",
+            )
+        self._stored_bytes += size
+        return result
+
+    def _new_key(self) -> IdempotencyKey:
+        parts = (self._instance, self._life, secrets.token_hex(8))
+        return IdempotencyKey(_SEPARATOR.join(parts))
+
+    def _expire(self, now: float) -> None:
+        """Drop the oldest keys past their lifetime, but no running one."""
+        while self._rows:
+            key, row = next(iter(self._rows.items()))
+            if now - row.issued_at < KEY_LIFETIME_S:
+                return
+            if row.state is _KeyState.RUNNING:
+                return
+            if row.result is not None:
+                self._stored_bytes -= len(row.result.body)
+            del self._rows[key]
+
+
+def _unlisted(key: IdempotencyKey, life: LifeId) -> Refuse:
+    """An unlisted key may have run before it expired or its process ended."""
+    parts = parse_key(key)
+    if parts is None:
+        return Refuse(outcome=Outcome.NOT_RUN, code=ResultCode.KEY_UNKNOWN)
+    if parts.life != life:
+        return Refuse(outcome=Outcome.UNKNOWN, code=ResultCode.KEY_OTHER_LIFE)
+    return Refuse(outcome=Outcome.UNKNOWN, code=ResultCode.KEY_UNKNOWN)
--- /dev/null
+++ b/chiverun/core/membership.py
@@ -0,0 +1,222 @@
+"""SWIM failure detection within a zone, as functions over the member table.
+
+After Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol" (DSN 2002): the load of an
+instance does not grow with the size of the zone.
+"""
+
+import math
+import random
+
+from chiverun.core.ids import InstanceId
+from chiverun.core.ids import ZoneName
+from chiverun.core.messages import Advert
+from chiverun.core.messages import MemberState
+from chiverun.core.messages import MemberUpdate
+from chiverun.core.tables import Member
+from chiverun.core.tables import MemberTable
+from chiverun.core.tables import PendingUpdate
+from chiverun.core.tables import Probe
+
+PERIOD_S = 1.0
+INDIRECT_AFTER_S = 0.35
+INDIRECT_PROBES = 2
+SUSPECT_S = 4.0
+# Dead rows are kept so that late adverts do not bring them back, and so that
+# holders of seats stay known to claimants.
+DEAD_KEPT_S = 600.0
+# Rows of other zones are dropped when nothing is heard of them.
+REMOTE_KEPT_S = 60.0
+UPDATE_SENDS_FACTOR = 3
+UPDATES_PER_MESSAGE = 6
+
+
+def merge_advert(table: MemberTable, advert: Advert, now: float) -> bool:
+    """Take over an advert if it is newer; return whether it was."""
+    row = table.rows.get(advert.instance)
+    if row is None:
+        row = Member(
+            instance=advert.instance,
+            zone=advert.zone,
+            peer=advert.peer,
+            incarnation=advert.incarnation,
+            state_since=now,
+        )
+        table.rows[advert.instance] = row
+    elif row.advert is not None and not _is_newer(advert, row.advert):
+        return False
+    row.advert = advert
+    row.life = advert.life
+    row.zone = advert.zone
+    row.peer = advert.peer
+    row.measured_at = now - advert.age_ms / 1000.0
+    if advert.incarnation > row.incarnation:
+        row.incarnation = advert.incarnation
+        _set_state(table, row, MemberState.ALIVE, now)
+    return True
+
+
+def _is_newer(new: Advert, old: Advert) -> bool:
+    return (new.incarnation, new.sequence) > (old.incarnation, old.sequence)
+
+
+def merge_update(table: MemberTable, update: MemberUpdate, now: float) -> bool:
+    """Take over a member update; return whether it changed a row."""
+    row = table.rows.get(update.instance)
+    if row is None or not _overrides(update, row):
+        return False
+    row.incarnation = update.incarnation
+    _set_state(table, row, update.state, now)
+    return True
+
+
+def _overrides(update: MemberUpdate, row: Member) -> bool:
+    match update.state:
+        case MemberState.ALIVE:
+            return update.incarnation > row.incarnation
+        case MemberState.SUSPECT:
+            if row.state is MemberState.ALIVE:
+                return update.incarnation >= row.incarnation
+            return update.incarnation > row.incarnation
+        case MemberState.DEAD:
+            return (
+                row.state is not MemberState.DEAD
+                and update.incarnation >= row.incarnation
+            )
+
+
+def _set_state(
+    table: MemberTable, row: Member, state: MemberState, now: float
+) -> None:
+    row.state = state
+    row.state_since = now
+    sends = UPDATE_SENDS_FACTOR * math.ceil(math.log2(len(table.rows) + 2))
+    table.updates[row.instance] = PendingUpdate(
+        update=MemberUpdate(
+            instance=row.instance,
+            incarnation=row.incarnation,
+            state=state,
+        ),
+        sends_left=sends,
+    )
+
+
+def take_updates(
+    table: MemberTable, about: InstanceId | None = None
+) -> tuple[MemberUpdate, ...]:
+    """Return the updates for a message, least often sent first.
+
+    An update about the receiver itself is always included, so that a live
+    member that is taken for dead can refute it.
+    """
+    pending = sorted(table.updates.values(), key=lambda p: -p.sends_left)
+    chosen = pending[:UPDATES_PER_MESSAGE]
+    for item in chosen:
+        item.sends_left -= 1
+        if item.sends_left <= 0:
+            del table.updates[item.update.instance]
+    updates = [item.update for item in chosen]
+    row = table.rows.get(about) if about else None
+    if row is not None and row.state is not MemberState.ALIVE:
+        updates.append(
+            MemberUpdate(
+                instance=row.instance,
+                incarnation=row.incarnation,
+                state=row.state,
+            )
+        )
+    return tuple(updates)
+
+
+def next_probe(
+    table: MemberTable, zone: ZoneName, now: float, rng: random.Random
+) -> Member | None:
+    """Start the next period: judge the last probe and choose a target.
+
+    Targets are taken in a shuffled order, so that each member is probed
+    within one round. Dead members are probed too: it costs one message a
+    round and finds those that were cut off.
+    """
+    _judge_probe(table, now)
+    while True:
+        if not table.probe_order:
+            table.probe_order = [m.instance for m in table.in_zone(zone)]
+            rng.shuffle(table.probe_order)
+        if not table.probe_order:
+            return None
+        row = table.rows.get(table.probe_order.pop())
+        if row is not None and row.zone == zone:
+            break
+    table.sequence += 1
+    table.probe = Probe(
+        target=row.instance, sequence=table.sequence, sent_at=now
+    )
+    return row
+
+
+def _judge_probe(table: MemberTable, now: float) -> None:
+    probe = table.probe
+    table.probe = None
+    if probe is None or probe.is_acked:
+        return
+    row = table.rows.get(probe.target)
+    if row is not None and row.state is MemberState.ALIVE:
+        _set_state(table, row, MemberState.SUSPECT, now)
+
+
+def forget_probe(table: MemberTable) -> None:
+    """Drop the open probe: after a pause of this process it proves nothing."""
+    table.probe = None
+
+
+def needs_indirect(table: MemberTable, now: float) -> bool:
+    """Tell whether to ask others to probe the target, and note it."""
+    probe = table.probe
+    if probe is None or probe.is_acked or probe.is_indirect:
+        return False
+    if now - probe.sent_at < INDIRECT_AFTER_S:
+        return False
+    probe.is_indirect = True
+    return True
+
+
+def indirect_helpers(
+    table: MemberTable, zone: ZoneName, rng: random.Random
+) -> list[Member]:
+    """Choose the members that are asked to probe the target."""
+    target = table.probe.target if table.probe else None
+    others = [
+        m
+        for m in table.live_in_zone(zone)
+        if m.instance != target and m.state is MemberState.ALIVE
+    ]
+    return rng.sample(others, min(INDIRECT_PROBES, len(others)))
+
+
+def acknowledge(table: MemberTable, sequence: int, now: float) -> None:
+    """Note the acknowledgement of a probe."""
+    probe = table.probe
+    if probe is None or probe.sequence != sequence:
+        return
+    probe.is_acked = True
+    row = table.rows.get(probe.target)
+    if row is not None:
+        row.acked_at = now
+
+
+def expire(table: MemberTable, zone: ZoneName, now: float) -> None:
+    """Declare old suspects dead and drop rows that are of no more use."""
+    for row in list(table.rows.values()):
+        age_s = now - row.state_since
+        if row.state is MemberState.SUSPECT and age_s >= SUSPECT_S:
+            _set_state(table, row, MemberState.DEAD, now)
+        elif _is_obsolete(row, zone, now):
+            del table.rows[row.instance]
+
+
+def _is_obsolete(row: Member, zone: ZoneName, now: float) -> bool:
+    if row.zone != zone:
+        return now - row.measured_at >= REMOTE_KEPT_S
+    return (
+        row.state is MemberState.DEAD and now - row.state_since >= DEAD_KEPT_S
+    )
--- /dev/null
+++ b/chiverun/core/messages.py
@@ -0,0 +1,202 @@
+"""Messages between instances, encoded as MessagePack.
+
+Ages travel as durations, since the monotonic clocks of two instances have
+nothing in common.
+"""
+
+import enum
+
+import msgspec
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.core.ids import Address
+from chiverun.core.ids import InstanceId
+from chiverun.core.ids import LifeId
+from chiverun.core.ids import SeatIndex
+from chiverun.core.ids import ServerName
+from chiverun.core.ids import ServiceName
+from chiverun.core.ids import ZoneName
+from chiverun.core.ticketlog import Entry
+
+
+class MemberState(enum.Enum):
+    """State of an instance as its zone's members see it."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+class _Record(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    pass
+
+
+class SeatClaim(_Record):
+    """A seat that an instance holds; a higher epoch is the later holder."""
+
+    seat: SeatIndex
+    epoch: int
+
+
+class Advert(_Record):
+    """What an instance says of itself; newest by (incarnation, sequence).
+
+    `room` is the number of its free slots by service, `age_ms` the time
+    since the instance made the advert.
+    """
+
+    instance: InstanceId
+    life: LifeId
+    incarnation: int
+    sequence: int
+    zone: ZoneName
+    lookup: Address
+    entry: Address
+    forward: Address
+    peer: Address
+    leaving: bool
+    seats: tuple[SeatClaim, ...]
+    room: dict[ServiceName, int]
+    number: int
+    age_ms: int = 0
+
+
+class MemberUpdate(_Record):
+    """A change of a member's state."""
+
+    instance: InstanceId
+    incarnation: int
+    state: MemberState
+
+
+class DrainSign(_Record):
+    """A backend server that said that it is leaving."""
+
+    server: ServerName
+    age_ms: int
+
+
+class Gossip(_Record):
+    """What every ping and acknowledgement carries."""
+
+    sender: Advert
+    number: int
+    digest: str
+    updates: tuple[MemberUpdate, ...] = ()
+    adverts: tuple[Advert, ...] = ()
+    draining: tuple[DrainSign, ...] = ()
+
+
+class _Message(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=True
+):
+    pass
+
+
+class Ping(_Message, tag=1):
+    """Asks for an acknowledgement."""
+
+    sequence: int
+    gossip: Gossip
+
+
+class Ack(_Message, tag=2):
+    """Answers a ping."""
+
+    sequence: int
+    gossip: Gossip
+
+
+class PingRequest(_Message, tag=3):
+    """Asks the receiver to ping a third instance."""
+
+    sequence: int
+    sender: Address
+    target: Address
+
+
+class IndirectAck(_Message, tag=4):
+    """Tells that the pinged third instance answered."""
+
+    sequence: int
+
+
+class Announce(_Message, tag=5):
+    """Tells that the sender has a ticket in force."""
+
+    sender: Address
+    number: int
+
+
+class Pull(_Message, tag=6):
+    """Asks for the tickets after `number`."""
+
+    sender: Address
+    number: int
+
+
+class Tickets(_Message, tag=7):
+    """Consecutive accepted tickets."""
+
+    entries: tuple[Entry, ...]
+
+
+class StateChunk(_Message, tag=8):
+    """A part of a whole state, for a receiver that is far behind."""
+
+    number: int
+    digest: str
+    index: int
+    total: int
+    data: bytes
+
+
+class SeatRequest(_Message, tag=9):
+    """Asks the holder of more seats for a part of them."""
+
+    instance: InstanceId
+    life: LifeId
+    peer: Address
+    held: int
+
+
+class SeatTransfer(_Message, tag=10):
+    """Hands a seat to one process lifetime of an instance."""
+
+    seat: SeatIndex
+    epoch: int
+    instance: InstanceId
+    life: LifeId
+
+
+Message = (
+    Ping
+    | Ack
+    | PingRequest
+    | IndirectAck
+    | Announce
+    | Pull
+    | Tickets
+    | StateChunk
+    | SeatRequest
+    | SeatTransfer
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> Message:
+    """Decode a message; raises REQUEST_MALFORMED."""
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.DecodeError, ValueError) as exc:
+        raise ChiverunError(
+            ResultCode.REQUEST_MALFORMED, f"peer message: {exc}"
+        ) from exc
--- a/chiverun/core/settings.py
+++ b/chiverun/core/settings.py
@@ -36,13 +36,25 @@
     lookup_threads: int = 4
     # [lookup]
     ttl_s: float = 2.0
+    # [network]: addresses as announced, and as reachable from here
+    address_map: tuple[tuple[Address, Address], ...] = ()
     # [telemetry]
     trace_ratio: float = 0.01
     log_level: str = "INFO"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OperatorSettings:
+    """Settings of the operators' commands; addresses are ``ip:port``."""
+
+    # [operator]
+    store: Address
+    instances: tuple[Address, ...]
+    store_timeout_ms: int = 2000
+
+
 _LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
-_SECTIONS = {
+_INSTANCE_SECTIONS = {
     "instance": (
         "name",
         "zone",
@@ -55,8 +67,12 @@
     "platform": ("store", "instance_list", "store_timeout_ms"),
     "limits": ("entry_threads", "forward_threads", "lookup_threads"),
     "lookup": ("ttl_s",),
+    "network": ("address_map",),
     "telemetry": ("trace_ratio", "log_level"),
 }
+_OPERATOR_SECTIONS = {
+    "operator": ("store", "instances", "store_timeout_ms"),
+}
 _ADDRESSES = {
     "lookup_address",
     "entry_address",
@@ -65,6 +81,7 @@
     "store",
     "instance_list",
 }
+_ADDRESS_LISTS = {"seeds", "instances"}
 _COUNTS = {
     "store_timeout_ms": (10, 60000),
     "entry_threads": (1, 512),
@@ -75,7 +92,7 @@
 
 
 def read_settings(path: str | pathlib.Path) -> Settings:
-    """Read and check a settings file.
+    """Read and check an instance's settings file.
 
     Raises
     ------
@@ -83,6 +100,22 @@
         FILE_NOT_READABLE, SETTING_UNKNOWN, SETTING_MISSING or
         SETTING_INVALID, naming section, key, bad value and valid ones.
     """
+    return Settings(**_values(path, _INSTANCE_SECTIONS, Settings))
+
+
+def read_operator_settings(path: str | pathlib.Path) -> OperatorSettings:
+    """Read and check an operator's settings file; raises the same."""
+    return OperatorSettings(
+        **_values(path, _OPERATOR_SECTIONS, OperatorSettings)
+    )
+
+
+def is_operator_file(path: str | pathlib.Path) -> bool:
+    """Tell whether a readable file holds operators' settings."""
+    return _parsed(path).has_section("operator")
+
+
+def _parsed(path: str | pathlib.Path) -> configparser.ConfigParser:
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(path, encoding="utf-8") as stream:
@@ -96,46 +129,49 @@
         raise ChiverunError(
             ResultCode.SETTING_INVALID, f"settings file {path}: {reason}"
         ) from exc
-    return _checked(parser)
+    return parser
 
 
-def _checked(parser: configparser.ConfigParser) -> Settings:
+def _values(
+    path: str | pathlib.Path, sections: dict[str, tuple[str, ...]], kind: type
+) -> dict[str, Any]:
+    parser = _parsed(path)
     values: dict[str, Any] = {}
     for section in parser.sections():
-        if section not in _SECTIONS:
+        if section not in sections:
             raise ChiverunError(
                 ResultCode.SETTING_UNKNOWN,
                 f"section [{section}] is unknown; valid: "
-                f"{', '.join(_SECTIONS)}",
+                f"{', '.join(sections)}",
             )
         for key, text in parser.items(section):
-            values[key] = _value(section, key, text.strip())
-    for section, keys in _SECTIONS.items():
+            if key not in sections[section]:
+                raise ChiverunError(
+                    ResultCode.SETTING_UNKNOWN,
+                    f"[{section}] {key} is unknown; valid: "
+                    f"{', '.join(sections[section])}",
+                )
+            values[key] = _value(f"[{section}] {key}", key, text.strip())
+    for section, keys in sections.items():
         for key in keys:
-            if key not in values and _is_required(key):
+            if key not in values and _is_required(kind, key):
                 raise ChiverunError(
                     ResultCode.SETTING_MISSING,
                     f"[{section}] {key} is required",
                 )
-    return Settings(**values)
+    return values
 
 
-def _is_required(key: str) -> bool:
-    field = next(f for f in dataclasses.fields(Settings) if f.name == key)
+def _is_required(kind: type, key: str) -> bool:
+    field = next(f for f in dataclasses.fields(kind) if f.name == key)
     return field.default is dataclasses.MISSING
 
 
-def _value(section: str, key: str, text: str) -> Any:
-    if key not in _SECTIONS[section]:
-        raise ChiverunError(
-            ResultCode.SETTING_UNKNOWN,
-            f"[{section}] {key} is unknown; valid: "
-            f"{', '.join(_SECTIONS[section])}",
-        )
-    where = f"[{section}] {key}"
-    if key == "seeds":
-        parts = [part.strip() for part in text.split(",")]
-        return tuple(_address(where, part) for part in parts if part)
+def _value(where: str, key: str, text: str) -> Any:
+    if key in _ADDRESS_LISTS:
+        return tuple(_address(where, part) for part in _parts(text))
+    if key == "address_map":
+        return tuple(_pair(where, part) for part in _parts(text))
     if key in _ADDRESSES:
         return _address(where, text)
     if key in _COUNTS:
@@ -144,11 +180,20 @@
         return _number(where, text, float, *_FRACTIONS[key])
     if key == "log_level" and text not in _LOG_LEVELS:
         raise _invalid(where, text, f"one of {', '.join(_LOG_LEVELS)}")
-    if not text:
-        raise _invalid(where, text, "a name of at least one character")
+    if not text or not text.isprintable() or "~" in text:
+        raise _invalid(where, text, "a printable name without '~'")
     return text
 
 
+def _parts(text: str) -> list[str]:
+    return [part.strip() for part in text.split(",") if part.strip()]
+
+
+def _pair(where: str, text: str) -> tuple[Address, Address]:
+    announced, _, reachable = text.partition("=")
+    return _address(where, announced), _address(where, reachable)
+
+
 def _address(where: str, text: str) -> Address:
     host, _, port = text.rpartition(":")
     try:
--- a/chiverun/core/snapshot.py
+++ b/chiverun/core/snapshot.py
@@ -15,12 +15,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryAddresses:
-    """Where an instance listens, as ``ip:port``."""
+    """Where an instance listens, as ``ip:port``, and its free slots.
+
+    `room` is by service; it was measured at `measured_at`.
+    """
 
     instance: InstanceId
     lookup: Address
     entry: Address
     forward: Address
+    room: Mapping[ServiceName, int]
+    measured_at: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/chiverun/core/ticketcheck.py
@@ -0,0 +1,260 @@
+"""Full check of a ticket against the state it would change."""
+
+import ipaddress
+import math
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.core.state import apply_ticket
+from chiverun.core.state import State
+from chiverun.core.ticket import encode_ticket
+from chiverun.core.ticket import KINDS
+from chiverun.core.ticket import Link
+from chiverun.core.ticket import Region
+from chiverun.core.ticket import RequestClass
+from chiverun.core.ticket import Server
+from chiverun.core.ticket import ServerState
+from chiverun.core.ticket import Service
+from chiverun.core.ticket import Shift
+from chiverun.core.ticket import ShiftState
+from chiverun.core.ticket import Site
+from chiverun.core.ticket import Ticket
+from chiverun.core.ticket import Zone
+
+# A store value holds up to 1 MB; the rest is for the entry's other fields.
+TICKET_BYTES_MAX = 900_000
+SEATS_MAX = 4096
+SLOTS_MAX = 4096
+DEADLINE_MS_MAX = 3_600_000
+ANSWER_BYTES_MAX = 64 * 1024 * 1024
+
+
+def check_ticket(state: State, ticket: Ticket) -> State:
+    """Check a ticket and return the state that it leads to.
+
+    Raises
+    ------
+    ChiverunError
+        TICKET_OUT_OF_ORDER, TICKET_TOO_LARGE, or TICKET_INVALID with one
+        problem, naming the object, the field, the value and the valid ones.
+    """
+    result = apply_ticket(state, ticket)
+    size = len(encode_ticket(ticket))
+    if size > TICKET_BYTES_MAX:
+        raise ChiverunError(
+            ResultCode.TICKET_TOO_LARGE,
+            f"ticket {ticket.number} has {size} bytes; valid: at most "
+            f"{TICKET_BYTES_MAX}",
+        )
+    for problem in _problems(state, ticket, result):
+        raise ChiverunError(
+            ResultCode.TICKET_INVALID, f"ticket {ticket.number}: {problem}"
+        )
+    return result
+
+
+def _problems(state: State, ticket: Ticket, result: State) -> Iterator[str]:
+    yield from _text(ticket)
+    yield from _touched_twice(ticket)
+    yield from _removals(state, ticket)
+    for kind, check in _CHECKS.items():
+        for name, record in result.objects[kind].items():
+            for problem in check(result, record):
+                yield f"{kind} {name}: {problem}"
+    yield from _seat_changes(state, result)
+    yield from _duplicate_links(result)
+    yield from _duplicate_addresses(result)
+    yield from _duplicate_blocks(result)
+    yield from _competing_shifts(result)
+
+
+def _text(ticket: Ticket) -> Iterator[str]:
+    for field in ("reason", "author"):
+        if not getattr(ticket, field).strip():
+            yield f"{field} is empty; valid: a text"
+
+
+def _touched_twice(ticket: Ticket) -> Iterator[str]:
+    touched = [
+        (kind, record.name)
+        for kind in KINDS
+        for record in getattr(ticket, kind)
+    ]
+    touched += [(r.kind, r.name) for r in ticket.remove]
+    seen = set()
+    for kind, name in touched:
+        if (kind, name) in seen:
+            yield f"{kind} {name!r} is stated twice; valid: once"
+        seen.add((kind, name))
+        if not name or len(name) > 100 or not name.isprintable():
+            yield f"{kind} name {name!r}; valid: 1 to 100 printable characters"
+
+
+def _removals(state: State, ticket: Ticket) -> Iterator[str]:
+    for removal in ticket.remove:
+        if removal.kind not in KINDS:
+            yield (f"remove kind {removal.kind!r}; valid: {', '.join(KINDS)}")
+        elif removal.name not in state.objects[removal.kind]:
+            yield f"remove {removal.kind} {removal.name!r} does not exist"
+
+
+def _reference(state: State, field: str, kind: type, name: str):
+    known = state.of(kind)
+    if name not in known:
+        valid = ", ".join(sorted(known)[:20]) or "none exist"
+        yield f"{field} is {name!r}; valid: {valid}"
+
+
+def _between(field: str, value: float, low: float, high: float):
+    if not (math.isfinite(value) and low <= value <= high):
+        yield f"{field} is {value}; valid: {low} to {high}"
+
+
+def _region(state: State, record: Region) -> Iterator[str]:
+    yield from _between("in_flight_max", record.in_flight_max, 0, 10**9)
+
+
+def _zone(state: State, record: Zone) -> Iterator[str]:
+    yield from _reference(state, "region", Region, record.region)
+    yield from _between("seats", record.seats, 1, SEATS_MAX)
+
+
+def _link(state: State, record: Link) -> Iterator[str]:
+    yield from _reference(state, "source", Region, record.source)
+    yield from _reference(state, "target", Region, record.target)
+    yield from _between("mbit_per_s", record.mbit_per_s, 0.001, 10**7)
+    if record.source == record.target:
+        yield f"target is {record.target!r}; valid: another than the source"
+
+
+def _service(state: State, record: Service) -> Iterator[str]:
+    if not record.classes:
+        yield "classes is empty; valid: at least one class"
+    names = [c.name for c in record.classes]
+    if len(set(names)) < len(names):
+        yield f"classes are named {names}; valid: names that differ"
+    for request_class in record.classes:
+        for problem in _class_problems(request_class):
+            yield f"class {request_class.name}: {problem}"
+
+
+def _class_problems(record: RequestClass) -> Iterator[str]:
+    yield from _between("attempts", record.attempts, 1, 10)
+    yield from _between("deadline_ms", record.deadline_ms, 1, DEADLINE_MS_MAX)
+    yield from _between(
+        "answer_bytes_max", record.answer_bytes_max, 1, ANSWER_BYTES_MAX
+    )
+    if record.attempts > 1 and not record.repeatable:
+        yield f"attempts is {record.attempts}; valid: 1 unless repeatable"
+    if not record.methods or any(
+        not m.isalpha() or not m.isupper() for m in record.methods
+    ):
+        yield f"methods is {list(record.methods)}; valid: such as ['GET']"
+    if not record.path_prefix.startswith("/"):
+        yield f"path_prefix is {record.path_prefix!r}; valid: a path from /"
+
+
+def _server(state: State, record: Server) -> Iterator[str]:
+    yield from _reference(state, "service", Service, record.service)
+    yield from _reference(state, "zone", Zone, record.zone)
+    yield from _between("slots", record.slots, 1, SLOTS_MAX)
+    yield from _between("long_slots", record.long_slots, 0, record.slots)
+    yield from _between("connections_max", record.connections_max, 1, 10**6)
+    host, _, port = record.address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    except ValueError:
+        valid = False
+    if not valid:
+        yield f"address is {record.address!r}; valid: IP:PORT"
+
+
+def _site(state: State, record: Site) -> Iterator[str]:
+    yield from _reference(state, "zone", Zone, record.zone)
+    for block in record.blocks:
+        try:
+            ipaddress.IPv4Network(block)
+        except ValueError as exc:
+            yield f"block {block!r}: {exc}; valid: such as 10.1.0.0/16"
+
+
+def _shift(state: State, record: Shift) -> Iterator[str]:
+    yield from _reference(state, "service", Service, record.service)
+    yield from _reference(state, "source", Region, record.source)
+    yield from _reference(state, "target", Region, record.target)
+    yield from _between("fraction", record.fraction, 0.0, 1.0)
+    yield from _between("cap_per_s", record.cap_per_s, 1, 10**9)
+    yield from _between("warm_s", record.warm_s, 0.0, 86400.0)
+    if record.source == record.target:
+        yield f"target is {record.target!r}; valid: another than the source"
+
+
+_CHECKS: dict[str, Callable[..., Iterator[str]]] = {
+    "region": _region,
+    "zone": _zone,
+    "link": _link,
+    "service": _service,
+    "server": _server,
+    "site": _site,
+    "shift": _shift,
+}
+
+
+def _seat_changes(state: State, result: State) -> Iterator[str]:
+    """Seats map slots to holders, so they stay while servers are active."""
+    for name, zone in state.of(Zone).items():
+        after = result.of(Zone).get(name)
+        active = any(
+            s.zone == name and s.state is ServerState.ACTIVE
+            for s in state.of(Server).values()
+        )
+        if after is not None and after.seats != zone.seats and active:
+            yield (
+                f"zone {name}: seats is {after.seats}; valid: {zone.seats} "
+                "while the zone has active servers"
+            )
+
+
+def _duplicate_links(result: State) -> Iterator[str]:
+    seen: dict[tuple[str, str], str] = {}
+    for link in result.of(Link).values():
+        other = seen.setdefault((link.source, link.target), link.name)
+        if other != link.name:
+            yield f"link {link.name}: same regions as link {other}"
+
+
+def _duplicate_addresses(result: State) -> Iterator[str]:
+    seen: dict[str, str] = {}
+    for server in result.of(Server).values():
+        other = seen.setdefault(server.address, server.name)
+        if other != server.name:
+            yield (
+                f"server {server.name}: address {server.address} is that of "
+                f"server {other}"
+            )
+
+
+def _duplicate_blocks(result: State) -> Iterator[str]:
+    seen: dict[str, str] = {}
+    for site in result.of(Site).values():
+        for block in site.blocks:
+            other = seen.setdefault(block, site.name)
+            if other != site.name:
+                yield f"site {site.name}: block {block} is in site {other}"
+
+
+def _competing_shifts(result: State) -> Iterator[str]:
+    seen: dict[tuple[str, str], str] = {}
+    for shift in result.of(Shift).values():
+        if shift.state is ShiftState.ENDED:
+            continue
+        key = (shift.service, shift.source)
+        other = seen.setdefault(key, shift.name)
+        if other != shift.name:
+            yield (
+                f"shift {shift.name}: shift {other} already moves "
+                f"{shift.service} from {shift.source}; valid: one at a time"
+            )
--- /dev/null
+++ b/chiverun/integrations/network.py
@@ -0,0 +1,22 @@
+"""Translation of addresses between networks."""
+
+from collections.abc import Mapping
+
+from chiverun.core.ids import Address
+
+
+class AddressMap:
+    """Maps addresses as announced to addresses as reachable from here."""
+
+    def __init__(self, *, mapping: Mapping[Address, Address]) -> None:
+        self._mapping = dict(mapping)
+
+    def translate(self, address: Address) -> Address:
+        """Return the address to connect to."""
+        return self._mapping.get(address, address)
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Split ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/chiverun/integrations/peers.py
@@ -0,0 +1,166 @@
+"""Messages between instances by pyzmq: one thread owns all sockets."""
+
+import collections
+import threading
+import time
+from collections.abc import Callable
+
+import zmq
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.core.ids import Address
+from chiverun.integrations.network import AddressMap
+
+_MESSAGE_BYTES_MAX = 2 * 1024 * 1024
+_HIGH_WATER_MARK = 256
+_CONNECTIONS_MAX = 256
+_IDLE_S = 60.0
+_POLL_MS = 500
+
+
+class ZmqPeers:
+    """Sends and receives datagram-like messages; loss is allowed.
+
+    A ROUTER socket receives; each destination has a DEALER socket, which
+    reconnects by itself and drops messages while it is not connected.
+    """
+
+    def __init__(self, *, bind: Address, addresses: AddressMap) -> None:
+        self._bind = bind
+        self._addresses = addresses
+        self._context = zmq.Context(io_threads=1)
+        self._outbox: collections.deque[tuple[Address, bytes]] = (
+            collections.deque(maxlen=4096)
+        )
+        self._wake_lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._dealers: collections.OrderedDict[
+            Address, tuple[zmq.Socket, float]
+        ] = collections.OrderedDict()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def start(self, receive: Callable[[bytes], None]) -> None:
+        """Bind and begin; `receive` is called on the transport's thread.
+
+        Raises
+        ------
+        ChiverunError
+            PORT_IN_USE.
+        """
+        self._router = self._context.socket(zmq.ROUTER)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.setsockopt(zmq.MAXMSGSIZE, _MESSAGE_BYTES_MAX)
+        self._router.setsockopt(zmq.RCVHWM, 4096)
+        try:
+            self._router.bind(f"tcp://{self._bind}")
+        except zmq.ZMQError as exc:
+            raise ChiverunError(
+                ResultCode.PORT_IN_USE,
+                f"cannot listen on {self._bind}: {exc}",
+            ) from exc
+        self._wake_in = self._context.socket(zmq.PAIR)
+        self._wake_in.bind("inproc://wake")
+        self._wake_out = self._context.socket(zmq.PAIR)
+        self._wake_out.connect("inproc://wake")
+        self._receive = receive
+        self._thread = threading.Thread(
+            target=self._run, daemon=True, name="peers"
+        )
+        self._thread.start()
+
+    def send(self, address: Address, payload: bytes) -> None:
+        """Queue a message; it is dropped if the peer is not connected."""
+        self._outbox.append((address, payload))
+        with self._wake_lock:
+            if not self._stopping.is_set():
+                try:
+                    self._wake_out.send(b"", zmq.NOBLOCK)
+                except zmq.ZMQError:
+                    pass
+
+    def stop(self) -> None:
+        """Send what is queued and close the sockets."""
+        with self._wake_lock:
+            self._stopping.set()
+            try:
+                self._wake_out.send(b"", zmq.NOBLOCK)
+            except zmq.ZMQError:
+                pass
+        self._thread.join(timeout=2)
+
+    def _run(self) -> None:
+        poller = zmq.Poller()
+        poller.register(self._router, zmq.POLLIN)
+        poller.register(self._wake_in, zmq.POLLIN)
+        while not self._stopping.is_set():
+            ready = dict(poller.poll(_POLL_MS))
+            if self._wake_in in ready:
+                _drain(self._wake_in)
+            if self._router in ready:
+                self._take_in()
+            self._send_out()
+            self._close_idle()
+        self._send_out()
+        self._close()
+
+    def _take_in(self) -> None:
+        while True:
+            try:
+                parts = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            if len(parts) == 2:
+                self.bytes_received += len(parts[1])
+                self._receive(parts[1])
+
+    def _send_out(self) -> None:
+        while self._outbox:
+            address, payload = self._outbox.popleft()
+            try:
+                self._dealer(address).send(payload, zmq.NOBLOCK)
+                self.bytes_sent += len(payload)
+            except zmq.ZMQError:
+                continue
+
+    def _dealer(self, address: Address) -> zmq.Socket:
+        now = time.monotonic()
+        known = self._dealers.pop(address, None)
+        if known is None:
+            dealer = self._context.socket(zmq.DEALER)
+            dealer.setsockopt(zmq.LINGER, 200)
+            dealer.setsockopt(zmq.SNDHWM, _HIGH_WATER_MARK)
+            dealer.setsockopt(zmq.RECONNECT_IVL, 100)
+            dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+            dealer.connect(f"tcp://{self._addresses.translate(address)}")
+        else:
+            dealer = known[0]
+        self._dealers[address] = (dealer, now)
+        return dealer
+
+    def _close_idle(self) -> None:
+        now = time.monotonic()
+        while self._dealers:
+            address, (dealer, used_at) = next(iter(self._dealers.items()))
+            crowded = len(self._dealers) > _CONNECTIONS_MAX
+            if now - used_at < _IDLE_S and not crowded:
+                return
+            del self._dealers[address]
+            dealer.close()
+
+    def _close(self) -> None:
+        for dealer, _ in self._dealers.values():
+            dealer.close()
+        self._router.close()
+        self._wake_in.close()
+        self._wake_out.close()
+        self._context.term()
+
+
+def _drain(socket: zmq.Socket) -> None:
+    while True:
+        try:
+            socket.recv(zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return
--- /dev/null
+++ b/chiverun/runtime/entry.py
@@ -0,0 +1,495 @@
+"""Requests of callers: keys, placement, attempts."""
+
+import dataclasses
+import threading
+import time
+import uuid
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from chiverun.core.admission import Work
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import Outcome
+from chiverun.core.errors import ResultCode
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import classify
+from chiverun.core.exchange import ExchangeEnd
+from chiverun.core.exchange import PeerRefused
+from chiverun.core.idempotency import parse_key
+from chiverun.core.idempotency import Refuse
+from chiverun.core.idempotency import Replay
+from chiverun.core.idempotency import Run
+from chiverun.core.idempotency import StoredResult
+from chiverun.core.ids import IdempotencyKey
+from chiverun.core.ids import RegionName
+from chiverun.core.ids import ServerName
+from chiverun.core.ids import ServiceName
+from chiverun.core.links import HEADER_BYTES
+from chiverun.core.routing import overflow_targets
+from chiverun.core.routing import region_room
+from chiverun.core.routing import region_targets
+from chiverun.core.routing import Target
+from chiverun.core.shift import active_shift
+from chiverun.core.shift import grow
+from chiverun.core.shift import Measurement
+from chiverun.core.shift import ShiftProgress
+from chiverun.core.shift import take
+from chiverun.core.ticket import RequestClass
+from chiverun.core.ticket import Service
+from chiverun.core.ticket import Shift
+from chiverun.core.ticket import Zone
+from chiverun.integrations.backend import Outgoing
+from chiverun.integrations.web import error_reply
+from chiverun.integrations.web import Incoming
+from chiverun.integrations.web import Reply
+from chiverun.runtime.execution import Attempt
+from chiverun.runtime.execution import backend_headers
+from chiverun.runtime.execution import Content
+from chiverun.runtime.execution import epoch_ms
+from chiverun.runtime.forward import CLASS_HEADER
+from chiverun.runtime.forward import SOURCE_HEADER
+
+if TYPE_CHECKING:
+    from chiverun.core.clock import Clock
+    from chiverun.core.idempotency import KeyTable
+    from chiverun.core.links import Links
+    from chiverun.core.retries import RetryBudget
+    from chiverun.core.snapshot import EntryAddresses
+    from chiverun.core.snapshot import Snapshot
+    from chiverun.integrations.backend import HttpBackends
+    from chiverun.integrations.telemetry import Telemetry
+    from chiverun.runtime.control import ControlPlane
+    from chiverun.runtime.control import Identity
+    from chiverun.runtime.execution import Executor
+
+_PREFIX = "/s/"
+# Placements that ended with proof that nothing ran may be tried again this
+# often; each takes part of the deadline.
+PLACEMENTS_MAX = 4
+KEYS_PER_CALL_MAX = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Request:
+    """A caller's request with what the state says about it."""
+
+    work: Work
+    content: Content
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Progress:
+    """Attempts made so far for one request."""
+
+    attempts_left: int
+    placements_left: int = PLACEMENTS_MAX
+    excluded: frozenset[ServerName] = frozenset()
+    may_have_run: bool = False
+
+
+class Entry:
+    """Handler of the entry address."""
+
+    def __init__(
+        self,
+        *,
+        identity: "Identity",
+        clock: "Clock",
+        plane: "ControlPlane",
+        executor: "Executor",
+        backends: "HttpBackends",
+        links: "Links",
+        keys: "KeyTable",
+        budget: "RetryBudget",
+        telemetry: "Telemetry",
+    ) -> None:
+        self._me = identity
+        self._clock = clock
+        self._plane = plane
+        self._executor = executor
+        self._backends = backends
+        self._links = links
+        self._keys = keys
+        self._budget = budget
+        self._telemetry = telemetry
+        self._lock = threading.Lock()
+        self._shifts: dict[str, ShiftProgress] = {}
+        self.in_flight = 0
+
+    def handle(self, req: Incoming) -> Reply:
+        """Answer a caller's request."""
+        with self._lock:
+            self.in_flight += 1
+        started = self._clock.monotonic()
+        try:
+            with self._telemetry.span("entry", parent=req.headers):
+                reply = self._handle(req)
+        finally:
+            with self._lock:
+                self.in_flight -= 1
+        self._telemetry.requests.add(1, {"status": reply.status})
+        self._telemetry.latency.record(self._clock.monotonic() - started)
+        return reply
+
+    def _handle(self, req: Incoming) -> Reply:
+        try:
+            request = self._request(req)
+        except ChiverunError as exc:
+            return error_reply(400, Outcome.NOT_RUN, exc.code, exc.message)
+        if request.work.request_class.repeatable:
+            return _reply(self._run(request))
+        return self._handle_keyed(req, request)
+
+    # Keys.
+
+    def _handle_keyed(self, req: Incoming, request: _Request) -> Reply:
+        key = IdempotencyKey(req.header("idempotency-key"))
+        if not key:
+            return error_reply(
+                428,
+                Outcome.NOT_RUN,
+                ResultCode.KEY_REQUIRED,
+                f"class {request.work.request_class.name} may not be "
+                "repeated; get an Idempotency-Key by POST /v1/keys",
+            )
+        parts = parse_key(key)
+        if parts is not None and parts.instance != self._me.instance:
+            return self._ask_issuer(req, request, key)
+        begin = self._keys.begin(
+            key, _fingerprint(req), wait_until=request.work.deadline
+        )
+        match begin:
+            case Run():
+                return self._run_keyed(key, request)
+            case Replay(result=result):
+                return _reply(result)
+            case Refuse(outcome=outcome, code=code):
+                return error_reply(409, outcome, code, f"key {key}")
+
+    def _run_keyed(self, key: IdempotencyKey, request: _Request) -> Reply:
+        result = StoredResult(
+            outcome=Outcome.UNKNOWN,
+            code=ResultCode.INTERNAL,
+            status=500,
+            headers=(),
+            body=b"",
+        )
+        try:
+            result = self._run(request)
+        finally:
+            self._keys.finish(key, result)
+        return _reply(result)
+
+    def _ask_issuer(
+        self, req: Incoming, request: _Request, key: IdempotencyKey
+    ) -> Reply:
+        """Pass a request on to the instance that issued its key.
+
+        Only the issuer may say that it was not run: another attempt with
+        the same key may have reached it before.
+        """
+        issuer = self._find_instance(key)
+        if issuer is None:
+            return _unknown_key(key, "its issuer is not known to be live")
+        headers = backend_headers(req.headers)
+        headers["Idempotency-Key"] = key
+        headers["X-Deadline-Ms"] = str(self._left_ms(request.work.deadline))
+        self._telemetry.inject(headers)
+        end = self._backends.exchange(
+            issuer.entry,
+            Outgoing(
+                method=req.method,
+                path=req.target,
+                headers=headers,
+                body=req.body,
+                request_id="",
+                deadline=request.work.deadline,
+                answer_bytes_max=request.work.request_class.answer_bytes_max,
+                fresh_connection=True,
+                to_peer=True,
+            ),
+        )
+        match end:
+            case Answered() | PeerRefused():
+                return _reply(_result(end))
+            case _:
+                return _unknown_key(key, "its issuer did not answer")
+
+    def _find_instance(self, key: IdempotencyKey) -> "EntryAddresses | None":
+        parts = parse_key(key)
+        for view in self._plane.snapshot.zones.values():
+            for addresses in view.instances:
+                if parts and addresses.instance == parts.instance:
+                    return addresses
+        return None
+
+    def _left_ms(self, deadline: float) -> int:
+        return max(1, int((deadline - self._clock.monotonic()) * 1000))
+
+    # Attempts.
+
+    def _run(self, request: _Request) -> StoredResult:
+        """Place a request until it is answered or may not be tried again."""
+        self._budget.deposit()
+        progress = _Progress(attempts_left=request.work.request_class.attempts)
+        end: ExchangeEnd = PeerRefused(code=ResultCode.NO_CAPACITY)
+        while progress.placements_left > 0:
+            attempt = self._place(request, progress.excluded)
+            end = attempt.end
+            if not self._may_try_again(attempt, progress, request):
+                break
+        return _result(end, may_have_run=progress.may_have_run)
+
+    def _may_try_again(
+        self, attempt: Attempt, progress: _Progress, request: _Request
+    ) -> bool:
+        progress.placements_left -= 1
+        if attempt.server is not None:
+            progress.excluded |= {attempt.server}
+        match classify(attempt.end).outcome:
+            case Outcome.ANSWERED:
+                return False
+            case Outcome.NOT_RUN:
+                # A refusal by admission has been tried everywhere.
+                return attempt.server is not None and self._has_time(request)
+            case Outcome.UNKNOWN:
+                progress.may_have_run = True
+                progress.attempts_left -= 1
+                return (
+                    request.work.request_class.repeatable
+                    and progress.attempts_left > 0
+                    and self._has_time(request)
+                    and self._budget.withdraw()
+                )
+
+    def _has_time(self, request: _Request) -> bool:
+        return self._clock.monotonic() < request.work.deadline
+
+    def _place(
+        self, request: _Request, excluded: frozenset[ServerName]
+    ) -> Attempt:
+        """Try the places in order until one takes the request."""
+        attempt = Attempt(end=PeerRefused(code=ResultCode.NO_CAPACITY))
+        for attempt in self._placements(request, excluded):
+            if not isinstance(attempt.end, PeerRefused):
+                return attempt
+        return attempt
+
+    def _placements(
+        self, request: _Request, excluded: frozenset[ServerName]
+    ) -> Iterator[Attempt]:
+        snapshot = self._plane.snapshot
+        work = request.work
+        now = self._clock.monotonic()
+        for target in self._shift_targets(snapshot, work, now):
+            yield self._forward(target, request)
+        local = self._executor.run(
+            work, request.content, excluded, may_wait=False
+        )
+        yield local
+        for target in overflow_targets(
+            snapshot, self._me.instance, self._me.zone, work.service, now
+        ):
+            yield self._forward(target, request)
+        yield self._executor.run(
+            work, request.content, excluded, may_wait=True
+        )
+
+    def _shift_targets(
+        self, snapshot: "Snapshot", work: Work, now: float
+    ) -> list[Target]:
+        shift = active_shift(snapshot.state, work.service, work.source_region)
+        if shift is None:
+            return []
+        with self._lock:
+            progress = self._shift_progress(shift)
+            room, measured_at = region_room(
+                snapshot, shift.target, shift.service
+            )
+            measurement = Measurement(room=room, age_s=now - measured_at)
+            grow(progress, measurement, now)
+            if not take(progress):
+                return []
+        return region_targets(
+            snapshot, self._me.instance, shift.target, work.service
+        )
+
+    def _shift_progress(self, shift: Shift) -> ShiftProgress:
+        progress = self._shifts.get(shift.name)
+        if progress is None or progress.shift != shift:
+            progress = ShiftProgress(shift=shift)
+            self._shifts[shift.name] = progress
+        return progress
+
+    def _forward(self, target: Target, request: _Request) -> Attempt:
+        """Send a request to an instance of another zone."""
+        refused = self._pace_request(target, request)
+        if refused is not None:
+            return refused
+        work = request.work
+        content = request.content
+        headers = backend_headers(content.headers)
+        headers["X-Request-Id"] = content.request_id
+        headers["X-Deadline-Epoch-Ms"] = epoch_ms(self._clock, work.deadline)
+        headers[CLASS_HEADER] = work.request_class.name
+        headers[SOURCE_HEADER] = work.source_region
+        with self._telemetry.span("attempt", zone=target.zone):
+            self._telemetry.inject(headers)
+            end = self._backends.exchange(
+                target.addresses.forward,
+                Outgoing(
+                    method=content.method,
+                    path=f"/f/{work.service}{content.path}",
+                    headers=headers,
+                    body=content.body,
+                    request_id=content.request_id,
+                    deadline=work.deadline,
+                    answer_bytes_max=work.request_class.answer_bytes_max,
+                    fresh_connection=not work.request_class.repeatable,
+                    to_peer=True,
+                ),
+            )
+        if classify(end).outcome is Outcome.NOT_RUN:
+            return Attempt(end=PeerRefused(code=classify(end).code))
+        return Attempt(end=end)
+
+    def _pace_request(
+        self, target: Target, request: _Request
+    ) -> Attempt | None:
+        """Wait for the link's rate; return a refusal if it has no room."""
+        work = request.work
+        if target.region == work.source_region:
+            return None
+        size = len(request.content.body) + HEADER_BYTES
+        left_s = work.deadline - self._clock.monotonic()
+        rate = self._links.try_admit(target.region, size, left_s)
+        if rate is None:
+            return Attempt(end=PeerRefused(code=ResultCode.LINK_CAP))
+        time.sleep(self._links.schedule(rate, size, size))
+        return None
+
+    # Reading a request.
+
+    def _request(self, req: Incoming) -> _Request:
+        state = self._plane.snapshot.state
+        if not req.path.startswith(_PREFIX):
+            raise ChiverunError(
+                ResultCode.REQUEST_MALFORMED,
+                f"path is {req.path!r}; valid: /s/<service>/...",
+            )
+        name, _, rest = req.path.removeprefix(_PREFIX).partition("/")
+        services = state.of(Service)
+        service = services.get(ServiceName(name))
+        if service is None:
+            valid = ", ".join(sorted(services)) or "none yet"
+            raise ChiverunError(
+                ResultCode.SERVICE_UNKNOWN,
+                f"service is {name!r}; valid: {valid}",
+            )
+        path = "/" + rest
+        request_class = match_class(service, req.method, path)
+        region = self._home_region(state)
+        return _Request(
+            work=Work(
+                service=service.name,
+                request_class=request_class,
+                source_region=region,
+                deadline=self._deadline(req, request_class),
+            ),
+            content=Content(
+                method=req.method,
+                path=path + (f"?{req.query}" if req.query else ""),
+                headers=req.headers,
+                body=req.body,
+                request_id=uuid.uuid4().hex,
+            ),
+        )
+
+    def _home_region(self, state) -> RegionName:
+        zone = state.of(Zone).get(self._me.zone)
+        if zone is None:
+            raise ChiverunError(
+                ResultCode.NOT_READY, f"zone {self._me.zone} is in no ticket"
+            )
+        return zone.region
+
+    def _deadline(self, req: Incoming, request_class: RequestClass) -> float:
+        most_ms = request_class.deadline_ms
+        text = req.header("x-deadline-ms", str(most_ms))
+        if not (text.isascii() and text.isdigit() and int(text) > 0):
+            raise ChiverunError(
+                ResultCode.DEADLINE_INVALID,
+                f"X-Deadline-Ms is {text!r}; valid: 1 to {most_ms}",
+            )
+        return self._clock.monotonic() + min(int(text), most_ms) / 1000.0
+
+
+def match_class(service: Service, method: str, path: str) -> RequestClass:
+    """Return the first class that matches; raises CLASS_UNKNOWN."""
+    for request_class in service.classes:
+        if method in request_class.methods and path.startswith(
+            request_class.path_prefix
+        ):
+            return request_class
+    raise ChiverunError(
+        ResultCode.CLASS_UNKNOWN,
+        f"{method} {path} matches no class of service {service.name}; "
+        f"valid: {', '.join(_rule(c) for c in service.classes)}",
+    )
+
+
+def _rule(request_class: RequestClass) -> str:
+    return f"{'|'.join(request_class.methods)} {request_class.path_prefix}"
+
+
+def _fingerprint(req: Incoming) -> str:
+    hashed = xxhash.xxh3_128()
+    for part in (req.method, req.path, req.query):
+        hashed.update(part.encode() + b"\0")
+    hashed.update(req.body)
+    return hashed.hexdigest()
+
+
+def _result(end: ExchangeEnd, *, may_have_run: bool = False) -> StoredResult:
+    classified = classify(end)
+    if isinstance(end, Answered):
+        return StoredResult(
+            outcome=classified.outcome,
+            code=classified.code,
+            status=end.status,
+            headers=end.headers,
+            body=end.body,
+        )
+    outcome = Outcome.UNKNOWN if may_have_run else classified.outcome
+    status = 503 if outcome is Outcome.NOT_RUN else 502
+    reply = error_reply(status, outcome, classified.code, type(end).__name__)
+    return StoredResult(
+        outcome=outcome,
+        code=classified.code,
+        status=status,
+        headers=reply.headers[:1],
+        body=reply.body,
+    )
+
+
+def _reply(result: StoredResult) -> Reply:
+    return Reply(
+        status=result.status,
+        headers=(
+            *result.headers,
+            ("X-Chiverun-Outcome", result.outcome.value),
+            ("X-Chiverun-Code", str(int(result.code))),
+        ),
+        body=result.body,
+    )
+
+
+def _unknown_key(key: IdempotencyKey, reason: str) -> Reply:
+    return error_reply(
+        409,
+        Outcome.UNKNOWN,
+        ResultCode.KEY_OUTCOME_UNKNOWN,
+        f"key {key}: {reason}; its request will not be run again",
+    )
--- /dev/null
+++ b/chiverun/runtime/forward.py
@@ -0,0 +1,169 @@
+"""Requests of peers: admitted at once to this zone's servers, or refused.
+
+A peer's request never waits for a slot here. It waits where it entered, so
+that threads of two instances cannot wait for each other.
+"""
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from chiverun.core.admission import Work
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import Outcome
+from chiverun.core.errors import ResultCode
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import classify
+from chiverun.core.exchange import ExchangeEnd
+from chiverun.core.ids import RegionName
+from chiverun.core.ids import ServiceName
+from chiverun.core.links import HEADER_BYTES
+from chiverun.core.ticket import RequestClass
+from chiverun.core.ticket import Service
+from chiverun.core.ticket import Zone
+from chiverun.integrations.web import error_reply
+from chiverun.integrations.web import Incoming
+from chiverun.integrations.web import Reply
+from chiverun.runtime.execution import Content
+from chiverun.runtime.execution import deadline_from_epoch
+
+if TYPE_CHECKING:
+    from chiverun.core.clock import Clock
+    from chiverun.core.ids import ZoneName
+    from chiverun.core.limits import ByteRate
+    from chiverun.core.links import Links
+    from chiverun.integrations.telemetry import Telemetry
+    from chiverun.runtime.control import ControlPlane
+    from chiverun.runtime.execution import Executor
+
+CLASS_HEADER = "X-Chiverun-Class"
+SOURCE_HEADER = "X-Chiverun-Source"
+_PREFIX = "/f/"
+
+
+class Forward:
+    """Handler of the forward address."""
+
+    def __init__(
+        self,
+        *,
+        zone: "ZoneName",
+        clock: "Clock",
+        plane: "ControlPlane",
+        executor: "Executor",
+        links: "Links",
+        telemetry: "Telemetry",
+    ) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._plane = plane
+        self._executor = executor
+        self._links = links
+        self._telemetry = telemetry
+        self._lock = threading.Lock()
+        self.in_flight = 0
+
+    def handle(self, req: Incoming) -> Reply:
+        """Run a peer's request once."""
+        with self._lock:
+            self.in_flight += 1
+        try:
+            with self._telemetry.span("forward", parent=req.headers):
+                return self._handle(req)
+        finally:
+            with self._lock:
+                self.in_flight -= 1
+
+    def _handle(self, req: Incoming) -> Reply:
+        try:
+            work = self._work(req)
+        except (ChiverunError, ValueError) as exc:
+            return error_reply(
+                400, Outcome.NOT_RUN, ResultCode.REQUEST_MALFORMED, str(exc)
+            )
+        content = Content(
+            method=req.method,
+            path=req.target.removeprefix(_PREFIX + work.service) or "/",
+            headers=req.headers,
+            body=req.body,
+            request_id=req.header("x-request-id"),
+        )
+        most = work.request_class.answer_bytes_max + HEADER_BYTES
+        region = self._region()
+        if work.source_region == region:
+            return reply_to_peer(self._run(work, content))
+        left_s = work.deadline - self._clock.monotonic()
+        rate = self._links.try_admit(work.source_region, most, left_s)
+        if rate is None:
+            return error_reply(
+                503,
+                Outcome.NOT_RUN,
+                ResultCode.LINK_CAP,
+                f"link from {region} to {work.source_region} has no room",
+            )
+        return self._paced(rate, most, work, content)
+
+    def _paced(
+        self, rate: "ByteRate", most: int, work: Work, content: Content
+    ) -> Reply:
+        """Run a request and delay its response to the link's rate."""
+        actual = 0
+        try:
+            reply = reply_to_peer(self._run(work, content))
+            actual = len(reply.body) + HEADER_BYTES
+        finally:
+            delay_s = self._links.schedule(rate, most, actual)
+        time.sleep(delay_s)
+        return reply
+
+    def _run(self, work: Work, content: Content) -> ExchangeEnd:
+        attempt = self._executor.run(
+            work, content, frozenset(), may_wait=False
+        )
+        return attempt.end
+
+    def _region(self) -> RegionName:
+        return self._plane.snapshot.state.of(Zone)[self._zone].region
+
+    def _work(self, req: Incoming) -> Work:
+        state = self._plane.snapshot.state
+        if self._zone not in state.of(Zone):
+            raise ValueError(f"zone {self._zone!r} is in no ticket")
+        name = ServiceName(req.path.removeprefix(_PREFIX).split("/", 1)[0])
+        service = state.of(Service).get(name)
+        if service is None:
+            raise ValueError(f"service {name!r} is unknown")
+        return Work(
+            service=name,
+            request_class=_class(service, req.header(CLASS_HEADER.lower())),
+            source_region=RegionName(req.header(SOURCE_HEADER.lower())),
+            deadline=deadline_from_epoch(
+                self._clock, req.header("x-deadline-epoch-ms")
+            ),
+        )
+
+
+def _class(service: Service, name: str) -> RequestClass:
+    for request_class in service.classes:
+        if request_class.name == name:
+            return request_class
+    raise ValueError(f"class {name!r} of service {service.name} is unknown")
+
+
+def reply_to_peer(end: ExchangeEnd) -> Reply:
+    """Return the reply that tells a peer how an exchange ended."""
+    classified = classify(end)
+    if isinstance(end, Answered):
+        return Reply(
+            status=end.status,
+            headers=(
+                *end.headers,
+                ("X-Chiverun-Outcome", classified.outcome.value),
+                ("X-Chiverun-Code", str(int(classified.code))),
+            ),
+            body=end.body,
+        )
+    status = 503 if classified.outcome is Outcome.NOT_RUN else 502
+    return error_reply(
+        status, classified.outcome, classified.code, type(end).__name__
+    )
--- /dev/null
+++ b/chiverun/runtime/instance.py
@@ -0,0 +1,305 @@
+"""Assembles one instance and stops it gracefully."""
+
+import random
+import secrets
+import signal
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import logbook
+import pykka
+
+from chiverun.core.admission import Admission
+from chiverun.core.clock import SystemClock
+from chiverun.core.errors import ChiverunError
+from chiverun.core.idempotency import KeyTable
+from chiverun.core.ids import LifeId
+from chiverun.core.links import Links
+from chiverun.core.messages import decode_message
+from chiverun.core.messages import encode_message
+from chiverun.core.messages import Message
+from chiverun.core.retries import RetryBudget
+from chiverun.core.ticketlog import TicketLog
+from chiverun.core.timer import TimerService
+from chiverun.integrations.backend import HttpBackends
+from chiverun.integrations.instances import HttpInstanceList
+from chiverun.integrations.network import AddressMap
+from chiverun.integrations.peers import ZmqPeers
+from chiverun.integrations.store import HttpStore
+from chiverun.integrations.telemetry import Telemetry
+from chiverun.integrations.web import WebServer
+from chiverun.runtime.control import ControlPlane
+from chiverun.runtime.control import Event
+from chiverun.runtime.control import HandOver
+from chiverun.runtime.control import Identity
+from chiverun.runtime.control import Leave
+from chiverun.runtime.control import TICK_S
+from chiverun.runtime.entry import Entry
+from chiverun.runtime.execution import Executor
+from chiverun.runtime.forward import Forward
+from chiverun.runtime.healthcheck import HealthCheck
+from chiverun.runtime.public import Public
+from chiverun.runtime.status import Sources
+from chiverun.runtime.storeworker import HeadWatch
+from chiverun.runtime.storeworker import SeatRecords
+from chiverun.runtime.storeworker import StoreWorker
+
+if TYPE_CHECKING:
+    from chiverun.core.ids import Address
+    from chiverun.core.settings import Settings
+
+# Time for the news that an instance leaves to reach all look-up answers.
+LEAVE_SPREAD_S = 2.0
+HAND_OVER_LIMIT_S = 5.0
+_POLL_S = 0.05
+_BACKEND_CONNECTIONS = 16
+_LOG = logbook.Logger("instance")
+
+
+class _Tick:
+    """Asks the control actor to run the systems."""
+
+
+class ControlActor(pykka.ThreadingActor):
+    """Runs the control plane: the only thread that writes its tables."""
+
+    use_daemon_thread = True
+
+    def __init__(self, plane: ControlPlane, links: Links) -> None:
+        super().__init__()
+        self._plane = plane
+        self._links = links
+
+    def on_receive(self, message: _Tick | Message | Event) -> None:
+        try:
+            self._dispatch(message)
+        except Exception:
+            # The actor must outlive a fault in the handling of one message.
+            _LOG.exception("control message failed")
+
+    def _dispatch(self, message: _Tick | Message | Event) -> None:
+        match message:
+            case _Tick():
+                self._plane.tick()
+                self._links.update(self._plane.snapshot)
+            case event if isinstance(event, Event):
+                self._plane.handle(event)
+            case _:
+                self._plane.receive(message)
+
+
+class Instance:
+    """One running instance.
+
+    Parameters
+    ----------
+    cfg : Settings
+    """
+
+    def __init__(self, *, cfg: "Settings") -> None:
+        self._cfg = cfg
+        self._clock = SystemClock()
+        self._rng = random.Random(secrets.randbits(64))
+        self._stop_requested = threading.Event()
+        self._addresses = AddressMap(mapping=dict(cfg.address_map))
+        life = LifeId(secrets.token_hex(8))
+        self._identity = Identity(
+            instance=cfg.name,
+            life=life,
+            zone=cfg.zone,
+            lookup=cfg.lookup_address,
+            entry=cfg.entry_address,
+            forward=cfg.forward_address,
+            peer=cfg.peer_address,
+            seeds=cfg.seeds,
+        )
+        self._telemetry = Telemetry(
+            instance=cfg.name, zone=cfg.zone, trace_ratio=cfg.trace_ratio
+        )
+        self._admission = Admission(
+            zone=cfg.zone, clock=self._clock, rng=self._rng
+        )
+        self._links = Links(zone=cfg.zone, clock=self._clock)
+        self._keys = KeyTable(instance=cfg.name, life=life, clock=self._clock)
+        self._backends = HttpBackends(
+            clock=self._clock,
+            addresses=self._addresses,
+            connections=_BACKEND_CONNECTIONS,
+        )
+        self._timer = TimerService(clock=self._clock)
+        self._peers = ZmqPeers(
+            bind=cfg.peer_address, addresses=self._addresses
+        )
+        self._build_control()
+        self._build_handlers()
+
+    def _build_control(self) -> None:
+        cfg = self._cfg
+        timeout_s = cfg.store_timeout_ms / 1000.0
+        store_address = self._addresses.translate(cfg.store)
+        worker_store = HttpStore(address=store_address, timeout_s=timeout_s)
+        watch_store = HttpStore(address=store_address, timeout_s=timeout_s)
+        self._worker = StoreWorker.start(
+            SeatRecords(store=worker_store, zone=cfg.zone), self._tell
+        )
+        self._plane = ControlPlane(
+            identity=self._identity,
+            clock=self._clock,
+            rng=self._rng,
+            admission=self._admission,
+            send=self._send,
+            submit=self._worker.tell,
+        )
+        self._control = ControlActor.start(self._plane, self._links)
+        self._watch = HeadWatch(
+            log=TicketLog(store=watch_store),
+            plane=self._plane,
+            report=self._tell,
+            rng=self._rng,
+        )
+
+    def _build_handlers(self) -> None:
+        cfg = self._cfg
+        executor = Executor(
+            clock=self._clock,
+            admission=self._admission,
+            backends=self._backends,
+            telemetry=self._telemetry,
+        )
+        self._entry = Entry(
+            identity=self._identity,
+            clock=self._clock,
+            plane=self._plane,
+            executor=executor,
+            backends=self._backends,
+            links=self._links,
+            keys=self._keys,
+            budget=RetryBudget(),
+            telemetry=self._telemetry,
+        )
+        self._forward = Forward(
+            zone=cfg.zone,
+            clock=self._clock,
+            plane=self._plane,
+            executor=executor,
+            links=self._links,
+            telemetry=self._telemetry,
+        )
+        public = Public(
+            sources=Sources(
+                clock=self._clock,
+                plane=self._plane,
+                admission=self._admission,
+                links=self._links,
+                watch=self._watch,
+            ),
+            keys=self._keys,
+            telemetry=self._telemetry,
+            ttl_s=cfg.ttl_s,
+        )
+        self._health = HealthCheck(
+            clock=self._clock,
+            plane=self._plane,
+            backends=self._backends,
+            instances=self._instance_list(),
+            report=self._tell,
+        )
+        self._servers = [
+            WebServer(
+                address=cfg.lookup_address,
+                handler=public.handle,
+                threads=cfg.lookup_threads,
+            ),
+            WebServer(
+                address=cfg.entry_address,
+                handler=self._entry.handle,
+                threads=cfg.entry_threads,
+            ),
+            WebServer(
+                address=cfg.forward_address,
+                handler=self._forward.handle,
+                threads=cfg.forward_threads,
+            ),
+        ]
+
+    def _instance_list(self) -> HttpInstanceList | None:
+        if self._cfg.instance_list is None:
+            return None
+        return HttpInstanceList(
+            address=self._addresses.translate(self._cfg.instance_list),
+            timeout_s=self._cfg.store_timeout_ms / 1000.0,
+        )
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        try:
+            self._start()
+            self._stop_requested.wait()
+            self._leave()
+        finally:
+            self._stop()
+
+    def _on_signal(self, _number: int, _frame) -> None:
+        """Request a stop; repeated signals change nothing."""
+        self._stop_requested.set()
+
+    def _start(self) -> None:
+        self._peers.start(self._on_peer_message)
+        for server in self._servers:
+            server.start()
+        self._timer.subscribe(TICK_S, lambda: self._tell(_Tick()))
+        self._timer.start()
+        self._watch.start()
+        self._health.start()
+        _LOG.info("started", extra={"life": self._identity.life})
+
+    def _leave(self) -> None:
+        """Leave look-up answers, finish all requests, give seats away."""
+        _LOG.info("leaving")
+        self._tell(Leave())
+        for server in self._servers:
+            server.close_connections()
+        time.sleep(self._cfg.ttl_s + LEAVE_SPREAD_S)
+        while self._in_flight() > 0:
+            time.sleep(_POLL_S)
+        self._tell(HandOver())
+        limit = self._clock.monotonic() + HAND_OVER_LIMIT_S
+        while (
+            not self._plane.has_handed_over and self._clock.monotonic() < limit
+        ):
+            time.sleep(_POLL_S)
+
+    def _in_flight(self) -> int:
+        return self._entry.in_flight + self._forward.in_flight
+
+    def _stop(self) -> None:
+        self._timer.stop()
+        self._watch.stop()
+        self._health.stop()
+        for server in self._servers:
+            server.stop()
+        self._peers.stop()
+        pykka.ActorRegistry.stop_all(block=False)
+        self._backends.close()
+        self._telemetry.stop()
+        _LOG.info("stopped")
+
+    def _tell(self, message: _Tick | Message | Event) -> None:
+        try:
+            self._control.tell(message)
+        except pykka.ActorDeadError:
+            return
+
+    def _send(self, address: "Address", message: Message) -> None:
+        self._peers.send(address, encode_message(message))
+
+    def _on_peer_message(self, data: bytes) -> None:
+        try:
+            message = decode_message(data)
+        except ChiverunError as exc:
+            _LOG.warning("peer message dropped", extra={"e": str(exc)})
+            return
+        self._tell(message)
--- /dev/null
+++ b/chiverun/runtime/public.py
@@ -0,0 +1,160 @@
+"""Look-ups, keys, health and status: the handler of the look-up address."""
+
+import threading
+import urllib.parse
+from typing import TYPE_CHECKING
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import Outcome
+from chiverun.core.errors import ResultCode
+from chiverun.core.lookup import answer_lookup
+from chiverun.core.lookup import block_table
+from chiverun.core.lookup import BlockTable
+from chiverun.core.lookup import parse_client
+from chiverun.core.ticket import Service
+from chiverun.core.ticket import Site
+from chiverun.integrations.web import error_reply
+from chiverun.integrations.web import Incoming
+from chiverun.integrations.web import json_reply
+from chiverun.integrations.web import Reply
+from chiverun.runtime.status import make_status
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from chiverun.core.idempotency import KeyTable
+    from chiverun.core.state import State
+    from chiverun.integrations.telemetry import Telemetry
+    from chiverun.runtime.status import Sources
+
+KEYS_PER_CALL_MAX = 1000
+
+
+class Public:
+    """Handler of the look-up address."""
+
+    def __init__(
+        self,
+        *,
+        sources: "Sources",
+        keys: "KeyTable",
+        telemetry: "Telemetry",
+        ttl_s: float,
+    ) -> None:
+        self._sources = sources
+        self._keys = keys
+        self._telemetry = telemetry
+        self._ttl_s = ttl_s
+        self._lock = threading.Lock()
+        self._sites: Mapping[str, Site] | None = None
+        self._table = BlockTable(sites=[])
+
+    def handle(self, req: Incoming) -> Reply:
+        """Answer by path."""
+        match (req.method, req.path):
+            case ("GET", "/v1/lookup"):
+                return self._lookup(req)
+            case ("POST", "/v1/keys"):
+                return self._issue(req)
+            case ("GET", "/v1/status"):
+                return json_reply(make_status(self._sources))
+            case ("GET", "/healthz"):
+                return json_reply({"status": "ok"})
+            case ("GET", "/readyz"):
+                return self._ready()
+            case _:
+                return error_reply(
+                    404,
+                    Outcome.NOT_RUN,
+                    ResultCode.REQUEST_MALFORMED,
+                    f"{req.method} {req.path} is unknown; valid: "
+                    "GET /v1/lookup, POST /v1/keys, GET /v1/status, "
+                    "GET /healthz, GET /readyz",
+                )
+
+    def _lookup(self, req: Incoming) -> Reply:
+        query = _query(req)
+        snapshot = self._sources.plane.snapshot
+        with self._telemetry.span("lookup", parent=req.headers):
+            client = parse_client(query.get("client", req.remote))
+            _check_service(snapshot.state, query.get("service"))
+            result = answer_lookup(
+                snapshot,
+                self._blocks(snapshot.state),
+                client,
+                self._sources.plane.identity.zone,
+                self._ttl_s,
+            )
+        self._telemetry.lookups.add(1)
+        if not result.instances:
+            return error_reply(
+                503,
+                Outcome.NOT_RUN,
+                ResultCode.NOT_READY,
+                "no instance is known to serve",
+            )
+        return json_reply(result)
+
+    def _blocks(self, state: "State") -> BlockTable:
+        """Return the block table, built again when sites have changed."""
+        sites = state.of(Site)
+        with self._lock:
+            if sites is not self._sites:
+                self._table = block_table(state)
+                self._sites = sites
+            return self._table
+
+    def _issue(self, req: Incoming) -> Reply:
+        text = _query(req).get("count", "1")
+        if not text.isdecimal() or not 0 < int(text) <= KEYS_PER_CALL_MAX:
+            raise ChiverunError(
+                ResultCode.REQUEST_MALFORMED,
+                f"count is {text!r}; valid: 1 to {KEYS_PER_CALL_MAX}",
+            )
+        if self._sources.plane.is_leaving:
+            return error_reply(
+                503,
+                Outcome.NOT_RUN,
+                ResultCode.LEAVING,
+                "this instance is stopping; ask another",
+            )
+        identity = self._sources.plane.identity
+        return json_reply(
+            {
+                "keys": self._keys.issue(int(text)),
+                "entry": identity.entry,
+                "ttl_s": self._ttl_s,
+            }
+        )
+
+    def _ready(self) -> Reply:
+        """Ready means: has a state, holds seats, and is not leaving."""
+        plane = self._sources.plane
+        reasons = []
+        if plane.state.number == 0:
+            reasons.append("no ticket is in force here")
+        if not plane.seats.held:
+            reasons.append("no seat is held")
+        if plane.seats.suspended_at is not None:
+            reasons.append("seats are suspended after a pause")
+        if plane.is_leaving:
+            reasons.append("the instance is leaving")
+        if plane.fork:
+            reasons.append(plane.fork)
+        return json_reply(
+            {"ready": not reasons, "reasons": reasons},
+            status=503 if reasons else 200,
+        )
+
+
+def _query(req: Incoming) -> dict[str, str]:
+    return dict(urllib.parse.parse_qsl(req.query))
+
+
+def _check_service(state: "State", service: str | None) -> None:
+    known = state.of(Service)
+    if service is not None and service not in known:
+        raise ChiverunError(
+            ResultCode.SERVICE_UNKNOWN,
+            f"service is {service!r}; valid: {', '.join(sorted(known))}",
+        )
--- /dev/null
+++ b/chiverun/runtime/status.py
@@ -0,0 +1,100 @@
+"""The status of an instance, as shown to operators."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from chiverun.core.messages import MemberState
+
+if TYPE_CHECKING:
+    from chiverun.core.admission import Admission
+    from chiverun.core.clock import Clock
+    from chiverun.core.links import Links
+    from chiverun.runtime.control import ControlPlane
+    from chiverun.runtime.storeworker import HeadWatch
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sources:
+    """The parts that a status is read from."""
+
+    clock: "Clock"
+    plane: "ControlPlane"
+    admission: "Admission"
+    links: "Links"
+    watch: "HeadWatch"
+
+
+class MemberStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Another instance; `age_s` is the age of what is known of it."""
+
+    instance: str
+    zone: str
+    state: MemberState
+    number: int
+    seats: int
+    age_s: float
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True):
+    """Status of one instance.
+
+    `room` is the number of free slots by service, `links` the free part of
+    each link's portion, `in_force_s` the time since the ticket came in force
+    here.
+    """
+
+    instance: str
+    life: str
+    zone: str
+    number: int
+    digest: str
+    in_force_s: float
+    store_reachable: bool
+    leaving: bool
+    suspended: bool
+    fork: str | None
+    seats: list[int]
+    seats_open: int
+    room: dict[str, int]
+    in_flight: int
+    links: dict[str, float]
+    draining: list[str]
+    members: list[MemberStatus]
+
+
+def make_status(sources: Sources) -> Status:
+    """Return the present status."""
+    plane = sources.plane
+    now = sources.clock.monotonic()
+    held = dict(plane.seats.held)
+    return Status(
+        instance=plane.identity.instance,
+        life=plane.identity.life,
+        zone=plane.identity.zone,
+        number=plane.state.number,
+        digest=plane.state.digest,
+        in_force_s=round(now - plane.in_force_at, 3),
+        store_reachable=sources.watch.is_reachable,
+        leaving=plane.is_leaving,
+        suspended=plane.seats.suspended_at is not None,
+        fork=plane.fork,
+        seats=sorted(held),
+        seats_open=sum(1 for h in held.values() if h.short_from <= now),
+        room=dict(sources.admission.room()),
+        in_flight=sources.admission.in_flight(),
+        links={t: round(f, 3) for t, f in sources.links.headroom().items()},
+        draining=sorted(plane.snapshot.leaving_servers),
+        members=[
+            MemberStatus(
+                instance=m.instance,
+                zone=m.zone,
+                state=m.state,
+                number=m.advert.number if m.advert else 0,
+                seats=len(m.advert.seats) if m.advert else 0,
+                age_s=round(now - m.measured_at, 3) if m.advert else -1.0,
+            )
+            for m in list(plane.members.rows.values())
+        ],
+    )
--- /dev/null
+++ b/chiverun/runtime/storeworker.py
@@ -0,0 +1,249 @@
+"""Blocking calls to the platform's store, off the control plane's thread."""
+
+import random
+import threading
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+import pykka
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.ids import ZoneName
+from chiverun.core.seats import Claim
+from chiverun.core.seats import Owner
+from chiverun.core.seats import SeatRecord
+from chiverun.core.seats import select_claims
+from chiverun.core.seats import with_owners
+from chiverun.core.seats import without_owner
+from chiverun.integrations.interfaces import StoreAnswerLost
+from chiverun.integrations.interfaces import StoreUnavailable
+from chiverun.runtime.control import ClaimSeats
+from chiverun.runtime.control import EntriesRead
+from chiverun.runtime.control import ReadSeats
+from chiverun.runtime.control import SeatsClaimed
+from chiverun.runtime.control import SeatsRead
+from chiverun.runtime.control import SeatsWritten
+from chiverun.runtime.control import StateRead
+from chiverun.runtime.control import StoreJob
+from chiverun.runtime.control import StoreReport
+from chiverun.runtime.control import WriteSeats
+
+if TYPE_CHECKING:
+    from chiverun.core.ticketlog import TicketLog
+    from chiverun.integrations.interfaces import KeyValueStore
+    from chiverun.runtime.control import ControlPlane
+
+WATCH_S = 10.0
+POLL_S = 5.0
+_PAUSE_MIN_S = 0.2
+_PAUSE_MAX_S = 2.0
+_SWAP_ATTEMPTS = 4
+_LOG = logbook.Logger("store")
+
+Report = Callable[[StoreReport], None]
+
+
+class SeatRecords:
+    """Changes a zone's seat record by compare-and-swap."""
+
+    def __init__(self, *, store: "KeyValueStore", zone: ZoneName) -> None:
+        self._store = store
+        self._key = f"chiverun/seats/{zone}"
+
+    def read(self) -> tuple[SeatRecord, int]:
+        """Return the record and its index; 0 if there is none."""
+        item = self._store.get(self._key)
+        if item is None:
+            return SeatRecord(), 0
+        return msgspec.msgpack.decode(item.value, type=SeatRecord), item.index
+
+    def claim(self, job: ClaimSeats) -> tuple[list[Claim], SeatRecord]:
+        """Claim what the job's plan allows; return what took effect."""
+        record, index = self.read()
+        for _ in range(_SWAP_ATTEMPTS):
+            claims = select_claims(record, job.plan, job.me, job.replaced)
+            if not claims:
+                return [], record
+            owners = {
+                c.seat: msgspec.structs.replace(job.me, epoch=c.epoch)
+                for c in claims
+            }
+            wanted = with_owners(record, owners)
+            if self._swap(wanted, index):
+                return claims, wanted
+            record, index = self.read()
+            if _owns(record, owners):
+                return claims, record
+        return [], record
+
+    def write(self, job: WriteSeats) -> None:
+        """Write owners and give up seats; later epochs are kept.
+
+        Raises
+        ------
+        StoreUnavailable
+            The record could not be changed.
+        """
+        for _ in range(_SWAP_ATTEMPTS):
+            record, index = self.read()
+            wanted = with_owners(record, job.owners)
+            for seat, epoch in job.given_up.items():
+                wanted = without_owner(wanted, seat, epoch)
+            if wanted == record or self._swap(wanted, index):
+                return
+        raise StoreUnavailable(f"{self._key}: swapped by others")
+
+    def _swap(self, record: SeatRecord, index: int) -> bool:
+        """Swap; a lost answer counts as False, and the caller re-reads."""
+        data = msgspec.msgpack.encode(record)
+        try:
+            return self._store.put(self._key, data, cas=index)
+        except StoreAnswerLost:
+            return False
+
+
+def _owns(record: SeatRecord, owners: dict[int, Owner]) -> bool:
+    return all(record.owners.get(s) == owner for s, owner in owners.items())
+
+
+class StoreWorker(pykka.ThreadingActor):
+    """Runs store jobs one at a time and reports their results."""
+
+    use_daemon_thread = True
+
+    def __init__(self, records: SeatRecords, report: Report) -> None:
+        super().__init__()
+        self._records = records
+        self._report = report
+
+    def on_receive(self, message: StoreJob) -> None:
+        match message:
+            case ClaimSeats():
+                self._report(self._claim(message))
+            case ReadSeats(asked_at=asked_at):
+                self._report(self._read(asked_at))
+            case WriteSeats():
+                self._report(self._write(message))
+
+    def _claim(self, job: ClaimSeats) -> SeatsClaimed:
+        try:
+            claims, record = self._records.claim(job)
+        except StoreUnavailable:
+            return SeatsClaimed(claims=(), record=None)
+        return SeatsClaimed(claims=tuple(claims), record=record)
+
+    def _read(self, asked_at: float) -> SeatsRead:
+        try:
+            record, _ = self._records.read()
+        except StoreUnavailable:
+            return SeatsRead(record=None, asked_at=asked_at)
+        return SeatsRead(record=record, asked_at=asked_at)
+
+    def _write(self, job: WriteSeats) -> SeatsWritten:
+        try:
+            self._records.write(job)
+        except StoreUnavailable as exc:
+            _LOG.warning("seat record not written", extra={"e": str(exc)})
+            # Keeps a job that fails at once from filling the mailbox.
+            threading.Event().wait(_PAUSE_MIN_S)
+            return SeatsWritten(is_done=False, job=job)
+        return SeatsWritten(is_done=True, job=job)
+
+
+class HeadWatch:
+    """Follows the head of the ticket log on a thread.
+
+    A watcher of its zone waits on the head; any other instance polls it
+    only as a fallback, since its peers tell it of new tickets.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: "TicketLog",
+        plane: "ControlPlane",
+        report: Report,
+        rng: random.Random,
+    ) -> None:
+        self._log = log
+        self._plane = plane
+        self._report = report
+        self._rng = rng
+        self._stopping = threading.Event()
+        self._behind_since_number: int | None = None
+        self.is_reachable = False
+        self._thread = threading.Thread(
+            target=self._run, daemon=True, name="head-watch"
+        )
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End after the present call to the store."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        index = 0
+        pause_s = _PAUSE_MIN_S
+        while not self._stopping.is_set():
+            try:
+                index = self._follow(index)
+                self.is_reachable = True
+                pause_s = _PAUSE_MIN_S
+            except (StoreUnavailable, StoreAnswerLost) as exc:
+                self._note_outage(exc)
+                pause_s = min(_PAUSE_MAX_S, pause_s * 2)
+                index = 0
+            except ChiverunError as exc:
+                _LOG.error("ticket log", extra={"e": str(exc)})
+                pause_s = _PAUSE_MAX_S
+            else:
+                if not self._plane.is_watcher():
+                    pause_s = POLL_S * self._rng.uniform(0.8, 1.2)
+                elif index:
+                    pause_s = 0.0
+            self._stopping.wait(pause_s)
+
+    def _note_outage(self, exc: Exception) -> None:
+        if self.is_reachable:
+            _LOG.warning("store unreachable", extra={"e": str(exc)})
+        self.is_reachable = False
+
+    def _follow(self, index: int) -> int:
+        """Read or await the head once; return the index to wait on."""
+        wait_s = WATCH_S if index and self._plane.is_watcher() else 0.0
+        head = self._log.head(index=index if wait_s else 0, wait_s=wait_s)
+        number = head.entry.number if head.entry else 0
+        state = self._plane.state
+        if number > state.number:
+            self._read_missing(state.number, head.entry)
+        elif number < state.number:
+            self._repair(number)
+        else:
+            self._behind_since_number = None
+        return head.index
+
+    def _read_missing(self, number: int, head) -> None:
+        entries = self._log.entries_between(number, head)
+        if entries is None:
+            self._report(StateRead(state=self._log.load()))
+        else:
+            self._report(EntriesRead(entries=tuple(entries)))
+
+    def _repair(self, number: int) -> None:
+        """Bring a store with older data forward, if it stays behind."""
+        if self._behind_since_number != number:
+            self._behind_since_number = number
+            self._stopping.wait(self._rng.uniform(0.5, 1.5))
+            return
+        if not self._plane.is_watcher():
+            return
+        if self._log.repair(self._plane.state, list(self._plane.recent)):
+            _LOG.warning(
+                "store repaired",
+                extra={"from": number, "to": self._plane.state.number},
+            )
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -4,8 +4,7 @@
 cd "$(dirname "$0")/.."
 bin="$(scripts/setup.sh)"
 mkdir -p dist
-"$bin/shiv" -q --compressed -p '/usr/bin/env python3' \
-  -e chiverun.cli:main -o dist/chiverun --no-modify . >&2 2>/dev/null \
-  || "$bin/shiv" --compressed -p '/usr/bin/env python3' \
-  -e chiverun.cli:main -o dist/chiverun .
+"$bin/shiv" --compressed -p '/usr/bin/env python3' -e chiverun.cli:main \
+  -o dist/chiverun.new --quiet .
+mv dist/chiverun.new dist/chiverun
 echo "dist/chiverun"
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,248 @@
+"""The demonstration: a whole deployment as separate processes on loopback.
+
+Submits tickets (one of them a shift, one a drain), sends callers' load,
+replaces one instance gracefully, stops everything and audits the run from
+the backend servers' own logs. Exits non-zero when a guarantee is broken.
+"""
+
+import argparse
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import Any
+
+from standins import audit
+from standins import deployment
+from standins.cluster import Cluster
+from standins.cluster import running
+from standins.cluster import source_program
+
+IN_FORCE_LIMIT_MS = 3000
+CALLERS_PER_REGION = 16
+RATE_PER_CALLER = 4.0
+SHIFT_CAP_PER_S = 20
+_ZERO_FIGURES = (
+    "wrong_answers",
+    "ran_twice",
+    "not_run_but_ran",
+    "cut_in_flight",
+    "over_cap",
+    "failed_stops",
+)
+
+
+class InForceClock:
+    """Measures how long tickets take to be in force on all instances."""
+
+    def __init__(self, *, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self.worst_ms = 0.0
+
+    def submit(self, ticket: str, number: int) -> None:
+        """Submit a ticket and wait until every live instance has it.
+
+        The time counts from before the operators' command was started, so
+        it is an upper bound.
+        """
+        started = time.monotonic()
+        code, output = self._cluster.submit(ticket)
+        if code != 0:
+            raise RuntimeError(f"{ticket}: {output}")
+        names = [
+            i.name
+            for i in deployment.instances(self._cluster.spec)
+            if i.name in self._cluster.processes
+        ]
+        while not all(self._has(name, number) for name in names):
+            if time.monotonic() - started > 30:
+                break
+            time.sleep(0.02)
+        taken_ms = (time.monotonic() - started) * 1000
+        self.worst_ms = max(self.worst_ms, taken_ms)
+
+    def _has(self, name: str, number: int) -> bool:
+        status = self._cluster.status(name)
+        return status is not None and status["number"] >= number
+
+
+def plan(cluster: Cluster) -> dict[str, Any]:
+    """Return the callers' plan for a deployment."""
+    spec = cluster.spec
+    kinds = []
+    for service in spec.services:
+        kinds += [
+            _kind("GET", service, service.read, 0.35, True, 2000),
+            _kind("GET", service, service.long_read, 0.05, True, 10000),
+            _kind("POST", service, service.write, 0.10, False, 3000),
+        ]
+    zones = spec.zones()
+    callers = []
+    for region_index, region in enumerate(spec.regions):
+        lookups = [
+            f"{cluster.local(i.host)}:{deployment.LOOKUP_PORT}"
+            for i in deployment.instances(spec)
+            if i.region == region
+        ]
+        for number in range(CALLERS_PER_REGION):
+            block = region_index * 2 + number % 2 + 1
+            assert zones[block - 1][1] == region
+            callers.append(
+                {
+                    "region": region,
+                    "client": f"10.{block}.0.{number + 1}",
+                    "lookups": lookups,
+                }
+            )
+    return {
+        "kinds": kinds,
+        "callers": callers,
+        "rate_per_caller": RATE_PER_CALLER,
+    }
+
+
+def _kind(method, service, path, weight, repeatable, deadline_ms) -> dict:
+    return {
+        "method": method,
+        "path": f"{service.name}/{path}",
+        "weight": weight,
+        "is_repeatable": repeatable,
+        "deadline_ms": deadline_ms,
+    }
+
+
+def start_callers(cluster: Cluster, seconds: float, seed: int):
+    """Start the load as a separate process."""
+    (cluster.folder / "plan.json").write_text(json.dumps(plan(cluster)))
+    return subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "standins.callers",
+            "--plan",
+            str(cluster.folder / "plan.json"),
+            "--seconds",
+            str(seconds),
+            "--seed",
+            str(seed),
+            "--log",
+            str(cluster.folder / "callers.jsonl"),
+        ],
+        env=cluster.env,
+    )
+
+
+def demo(cluster: Cluster, seconds: float, seed: int) -> dict[str, Any]:
+    """Run the demonstration and return its figures."""
+    clock = InForceClock(cluster=cluster)
+    spec = cluster.spec
+    names = [i.name for i in deployment.instances(spec)]
+    load = start_callers(cluster, seconds, seed)
+    failed_stops = 0
+    try:
+        time.sleep(seconds * 0.1)
+        clock.submit("0002-shift.toml", 2)
+        shift_from = time.time()
+        time.sleep(seconds * 0.2)
+        clock.submit("0003-drain.toml", 3)
+        replaced = threading.Thread(
+            target=lambda: stops.append(_replace(cluster, names[0]))
+        )
+        stops: list[int] = []
+        replaced.start()
+        time.sleep(seconds * 0.3)
+        shift_to = time.time()
+        clock.submit("0004-end-shift.toml", 4)
+        load.wait(seconds + 60)
+        replaced.join()
+        failed_stops += sum(1 for code in stops if code != 0)
+    finally:
+        load.kill()
+        load.wait()
+    codes = _stop_all(cluster, names)
+    failed_stops += sum(1 for code in codes if code != 0)
+    cap = audit.ShiftCap(
+        service=spec.services[0].name,
+        source=spec.regions[1],
+        target=spec.regions[0],
+        cap_per_s=SHIFT_CAP_PER_S,
+        first=shift_from,
+        last=shift_to,
+    )
+    figures = audit.audit(
+        audit.read_lines([cluster.folder / "callers.jsonl"]),
+        audit.read_lines(
+            cluster.folder / f"{s.name}.jsonl"
+            for s in deployment.servers(spec)
+        ),
+        [cap],
+        dict(spec.zones()),
+    )
+    figures["failed_stops"] = failed_stops
+    figures["ticket_in_force_ms_max"] = round(clock.worst_ms)
+    return figures
+
+
+def _replace(cluster: Cluster, name: str) -> int:
+    """Stop an instance gracefully and start it again."""
+    code = cluster.stop(name)
+    cluster.start_instance(name)
+    return code
+
+
+def _stop_all(cluster: Cluster, names: list[str]) -> list[int]:
+    codes: list[int] = []
+    threads = [
+        threading.Thread(target=lambda n=n: codes.append(cluster.stop(n)))
+        for n in names
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return codes
+
+
+def is_kept(figures: dict[str, Any]) -> bool:
+    """Tell whether all guarantees held."""
+    return (
+        all(figures[name] == 0 for name in _ZERO_FIGURES)
+        and figures["ticket_in_force_ms_max"] <= IN_FORCE_LIMIT_MS
+        and figures["answered"] >= 0.99 * figures["requests"] > 0
+    )
+
+
+def main() -> None:
+    """Run the demonstration."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument(
+        "--deployment", choices=sorted(deployment.SPECS), default="inzira"
+    )
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--program", default="")
+    parser.add_argument("--keep", default="")
+    args = parser.parse_args()
+    program = (
+        [sys.executable, args.program] if args.program else source_program()
+    )
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(args.keep or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        cluster = Cluster(
+            spec=deployment.SPECS[args.deployment],
+            folder=folder,
+            program=program,
+        )
+        cluster.run("version")
+        with running(cluster):
+            figures = demo(cluster, args.seconds, args.seed)
+    print(json.dumps(figures))
+    sys.exit(0 if is_kept(figures) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,227 @@
+"""Stand-in of the platform: key-value store and lagging instance list.
+
+Serves the parts of the published Consul HTTP interface that chiverun uses.
+Faults are switched on by ``POST /admin`` with a JSON object:
+
+``outage``
+    true: calls are refused by closing the connection; waiting reads too.
+``latency_ms``
+    added to each call.
+``lose_answers``
+    number of following writes that take effect but get no answer.
+``save`` / ``restore``
+    keep a copy of the data / go back to it (a store restored from backup).
+``leaving``
+    names that the instance list shows as leaving after ``lag_s``.
+"""
+
+import argparse
+import base64
+import collections
+import copy
+import json
+import threading
+import time
+import urllib.parse
+from typing import Any
+
+from standins.web import Handler
+from standins.web import serve_in_thread
+from standins.web import Server
+
+_RATE_WINDOW_S = 1.0
+
+
+class Platform:
+    """Data and faults of the stand-in."""
+
+    def __init__(self, *, lag_s: float = 5.0) -> None:
+        self.changed = threading.Condition()
+        self.data: dict[str, tuple[bytes, int]] = {}
+        self.index = 10
+        self.saved: tuple[dict, int] | None = None
+        self.outage = False
+        self.latency_ms = 0.0
+        self.lose_answers = 0
+        self.lag_s = lag_s
+        self.services: dict[str, dict[str, str]] = {}
+        self.leaving: dict[str, float] = {}
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def get(
+        self, key: str, index: int, wait_s: float
+    ) -> tuple[bytes, int] | None:
+        """Read a key, waiting until its index is past `index`."""
+        deadline = time.monotonic() + wait_s
+        with self.changed:
+            while index:
+                item = self.data.get(key)
+                left = deadline - time.monotonic()
+                if self.outage or left <= 0:
+                    break
+                if item is None or item[1] != index:
+                    break
+                self.changed.wait(left)
+            return self.data.get(key)
+
+    def put(self, key: str, value: bytes, cas: int | None) -> bool:
+        """Write a key if its index is `cas`; 0 creates only."""
+        with self.changed:
+            current = self.data.get(key)
+            if cas is not None and cas != (current[1] if current else 0):
+                return False
+            self.index += 1
+            self.data[key] = (value, self.index)
+            self.changed.notify_all()
+            return True
+
+    def delete(self, key: str, cas: int | None) -> bool:
+        """Delete a key if its index is `cas`."""
+        with self.changed:
+            current = self.data.get(key)
+            if current is None or (cas is not None and cas != current[1]):
+                return False
+            del self.data[key]
+            self.changed.notify_all()
+            return True
+
+    def admin(self, order: dict[str, Any]) -> None:
+        """Switch faults."""
+        with self.changed:
+            for name in ("outage", "latency_ms", "lose_answers", "lag_s"):
+                if name in order:
+                    setattr(self, name, order[name])
+            if order.get("save"):
+                self.saved = (copy.deepcopy(self.data), self.index)
+            if order.get("restore") and self.saved:
+                self.data = copy.deepcopy(self.saved[0])
+            for name in order.get("leaving", ()):
+                self.leaving[name] = time.monotonic() + self.lag_s
+            for service, instances in order.get("services", {}).items():
+                self.services[service] = instances
+            self.changed.notify_all()
+
+    def listed(self, service: str) -> list[dict]:
+        """Return the instance list of a service, as it was `lag_s` ago."""
+        now = time.monotonic()
+        entries = []
+        for name, address in self.services.get(service, {}).items():
+            host, _, port = address.rpartition(":")
+            is_leaving = self.leaving.get(name, now + 1) <= now
+            entries.append(
+                {
+                    "Service": {
+                        "ID": name,
+                        "Address": host,
+                        "Port": int(port),
+                    },
+                    "Checks": [
+                        {"Status": "critical" if is_leaving else "passing"}
+                    ],
+                }
+            )
+        return entries
+
+
+def make_handler(platform: Platform) -> type[Handler]:
+    """Return a handler class for a platform."""
+
+    class PlatformHandler(Handler):
+        def _begin(self) -> tuple[str, dict[str, str]] | None:
+            """Count the call and apply outage and latency."""
+            parts = urllib.parse.urlsplit(self.path)
+            query = dict(
+                urllib.parse.parse_qsl(parts.query, keep_blank_values=True)
+            )
+            platform.calls[self.command] += 1
+            if platform.outage:
+                self.close_connection = True
+                self.connection.close()
+                return None
+            if platform.latency_ms:
+                time.sleep(platform.latency_ms / 1000.0)
+            return urllib.parse.unquote(parts.path), query
+
+        def do_GET(self) -> None:
+            if self.path == "/admin/calls":
+                self.reply_json(dict(platform.calls))
+                return
+            begun = self._begin()
+            if begun is None:
+                return
+            path, query = begun
+            if path.startswith("/v1/health/service/"):
+                name = path.removeprefix("/v1/health/service/")
+                self.reply_json(platform.listed(name))
+                return
+            key = path.removeprefix("/v1/kv/")
+            if "keys" in query:
+                found = [k for k in sorted(platform.data) if k.startswith(key)]
+                self.reply_json(found, 200 if found else 404)
+                return
+            wait_ms = float(query.get("wait", "0ms").removesuffix("ms"))
+            item = platform.get(
+                key, int(query.get("index", "0")), wait_ms / 1000.0
+            )
+            if platform.outage:
+                self.close_connection = True
+                self.connection.close()
+            elif item is None:
+                self.reply(404)
+            else:
+                self._reply_item(key, item)
+
+        def _reply_item(self, key: str, item: tuple[bytes, int]) -> None:
+            pair = {
+                "Key": key,
+                "Value": base64.b64encode(item[0]).decode(),
+                "ModifyIndex": item[1],
+            }
+            self.reply_json([pair], **{"X-Consul-Index": str(item[1])})
+
+        def do_PUT(self) -> None:
+            body = self.body()
+            self._write(lambda key, cas: platform.put(key, body, cas))
+
+        def do_DELETE(self) -> None:
+            self._write(platform.delete)
+
+        def _write(self, write) -> None:
+            begun = self._begin()
+            if begun is None:
+                return
+            path, query = begun
+            cas = int(query["cas"]) if "cas" in query else None
+            done = write(path.removeprefix("/v1/kv/"), cas)
+            if platform.lose_answers > 0 and done:
+                platform.lose_answers -= 1
+                self.close_connection = True
+                self.connection.close()
+                return
+            self.reply(200, b"true" if done else b"false")
+
+        def do_POST(self) -> None:
+            platform.admin(json.loads(self.body()))
+            self.reply_json({})
+
+    return PlatformHandler
+
+
+def start(address: tuple[str, int], platform: Platform) -> Server:
+    """Serve a platform on a thread."""
+    return serve_in_thread(address, make_handler(platform))
+
+
+def main() -> None:
+    """Run the stand-in until it is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--lag", type=float, default=5.0)
+    args = parser.parse_args()
+    host, _, port = args.listen.rpartition(":")
+    start((host, int(port)), Platform(lag_s=args.lag))
+    threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
