Split runtime/control.py into systems over one context

Cause: control.py had 965 lines with six jobs in one class. Change: ControlContext holds the tables; the member, gossip, seat, seat transfer, ticket, drain and publishing systems are functions in modules of their own; control.py keeps the tick and the dispatch. Behaviour is unchanged.

--- /dev/null
+++ b/chiverun/runtime/publishing.py
@@ -0,0 +1,112 @@
+"""Publishes the snapshot that the request path reads."""
+
+import collections
+import math
+from typing import TYPE_CHECKING
+
+from chiverun.core.ids import ZoneName
+from chiverun.core.snapshot import EntryAddresses
+from chiverun.core.snapshot import HeldSeat
+from chiverun.core.snapshot import Snapshot
+from chiverun.core.snapshot import ZoneView
+from chiverun.core.tables import Member
+from chiverun.core.ticket import Zone
+
+if TYPE_CHECKING:
+    from chiverun.runtime.context import ControlContext
+
+# A remote instance not heard of for this long is left out of look-ups.
+REMOTE_LISTED_S = 15.0
+
+
+def publish(ctx: "ControlContext", now: float) -> None:
+    """Publish a snapshot and update admission."""
+    ctx.snapshot = make_snapshot(ctx, now)
+    ctx.admission.update(ctx.snapshot)
+    for releasing in ctx.seats.releasing.values():
+        releasing.is_published = True
+
+
+def make_snapshot(ctx: "ControlContext", now: float) -> Snapshot:
+    """Return a snapshot of the tables."""
+    return Snapshot(
+        state=ctx.state,
+        published_at=now,
+        zones=_zone_views(ctx, now),
+        seats=tuple(
+            HeldSeat(
+                index=seat,
+                short_from=held.short_from,
+                long_from=held.long_from,
+            )
+            for seat, held in sorted(ctx.seats.held.items())
+        ),
+        confirmed=ctx.seats.suspended_at is None,
+        leaving=ctx.is_leaving,
+        leaving_servers=frozenset(
+            s for s, until in ctx.drains.until.items() if until > now
+        ),
+    )
+
+
+def _zone_views(ctx: "ControlContext", now: float) -> dict[ZoneName, ZoneView]:
+    rows: dict[ZoneName, list[Member]] = {}
+    for row in ctx.members.rows.values():
+        if _is_listed(ctx, row, now):
+            rows.setdefault(row.zone, []).append(row)
+    rows.setdefault(ctx.identity.zone, [])
+    zones = ctx.state.of(Zone)
+    return {
+        name: _zone_view(ctx, zones[name], members, now)
+        for name, members in rows.items()
+        if name in zones
+    }
+
+
+def _is_listed(ctx: "ControlContext", row: Member, now: float) -> bool:
+    if row.advert is None or row.advert.leaving:
+        return False
+    if row.zone == ctx.identity.zone:
+        return row.is_live
+    return now - row.measured_at <= REMOTE_LISTED_S
+
+
+def _zone_view(
+    ctx: "ControlContext", zone: Zone, members: list[Member], now: float
+) -> ZoneView:
+    instances = [
+        EntryAddresses(
+            instance=m.instance,
+            lookup=m.advert.lookup,
+            entry=m.advert.entry,
+            forward=m.advert.forward,
+            room=m.advert.room,
+            measured_at=m.measured_at,
+        )
+        for m in members
+    ]
+    if zone.name == ctx.identity.zone and not ctx.is_leaving:
+        instances.append(_own_addresses(ctx))
+    room: collections.Counter = collections.Counter()
+    for member in members:
+        room.update(member.advert.room)
+    oldest = max((m.measured_at for m in members), default=-math.inf)
+    return ZoneView(
+        zone=zone.name,
+        region=zone.region,
+        instances=tuple(sorted(instances, key=lambda a: a.instance)),
+        room=dict(room),
+        measured_at=oldest,
+    )
+
+
+def _own_addresses(ctx: "ControlContext") -> EntryAddresses:
+    me = ctx.identity
+    return EntryAddresses(
+        instance=me.instance,
+        lookup=me.lookup,
+        entry=me.entry,
+        forward=me.forward,
+        room={},
+        measured_at=-math.inf,
+    )
--- a/chiverun/runtime/storeworker.py
+++ b/chiverun/runtime/storeworker.py
@@ -19,16 +19,16 @@
 from chiverun.core.seats import without_owner
 from chiverun.integrations.interfaces import StoreAnswerLost
 from chiverun.integrations.interfaces import StoreUnavailable
-from chiverun.runtime.control import ClaimSeats
-from chiverun.runtime.control import EntriesRead
-from chiverun.runtime.control import ReadSeats
-from chiverun.runtime.control import SeatsClaimed
-from chiverun.runtime.control import SeatsRead
-from chiverun.runtime.control import SeatsWritten
-from chiverun.runtime.control import StateRead
-from chiverun.runtime.control import StoreJob
-from chiverun.runtime.control import StoreReport
-from chiverun.runtime.control import WriteSeats
+from chiverun.runtime.events import ClaimSeats
+from chiverun.runtime.events import EntriesRead
+from chiverun.runtime.events import ReadSeats
+from chiverun.runtime.events import SeatsClaimed
+from chiverun.runtime.events import SeatsRead
+from chiverun.runtime.events import SeatsWritten
+from chiverun.runtime.events import StateRead
+from chiverun.runtime.events import StoreJob
+from chiverun.runtime.events import StoreReport
+from chiverun.runtime.events import WriteSeats
 
 if TYPE_CHECKING:
     from chiverun.core.ticketlog import TicketLog
