--- a/chiverun/core/membership.py
+++ b/chiverun/core/membership.py
@@ -9,6 +9,7 @@
 import random
 
 from chiverun.core.ids import InstanceId
+from chiverun.core.ids import LifeId
 from chiverun.core.ids import ZoneName
 from chiverun.core.messages import Advert
 from chiverun.core.messages import MemberState
@@ -22,19 +23,35 @@
 INDIRECT_AFTER_S = 0.35
 INDIRECT_PROBES = 2
 SUSPECT_S = 4.0
+# Pings of this instance's own to a member that others declared dead.
+CHECKS = 3
+CHECK_PERIOD_S = 0.4
+ENDED_KEPT = 256
+RELAYED_MAX = 256
+# Instances known of each other zone.
+REMOTE_PER_ZONE = 4
 # Dead rows are kept so that late adverts do not bring them back, and so that
 # holders of seats stay known to claimants.
 DEAD_KEPT_S = 600.0
 # Rows of other zones are dropped when nothing is heard of them.
 REMOTE_KEPT_S = 60.0
+# Rows of other zones older than this give way to newly heard instances.
+REMOTE_REPLACED_S = 10.0
 UPDATE_SENDS_FACTOR = 3
 UPDATES_PER_MESSAGE = 6
 
 
-def merge_advert(table: MemberTable, advert: Advert, now: float) -> bool:
-    """Take over an advert if it is newer; return whether it was."""
+def merge_advert(
+    table: MemberTable, advert: Advert, zone: ZoneName, now: float
+) -> bool:
+    """Take over an advert if it is newer; return whether it was.
+
+    Of each other zone than `zone` only a few instances are kept.
+    """
     row = table.rows.get(advert.instance)
     if row is None:
+        if not _has_room(table, advert, zone, now):
+            return False
         row = Member(
             instance=advert.instance,
             zone=advert.zone,
@@ -46,7 +63,9 @@
     elif row.advert is not None and not _is_newer(advert, row.advert):
         return False
     row.advert = advert
-    row.life = advert.life
+    if row.life != advert.life:
+        row.life = advert.life
+        row.noted_sequence = table.sequence
     row.zone = advert.zone
     row.peer = advert.peer
     row.measured_at = now - advert.age_ms / 1000.0
@@ -56,6 +75,21 @@
     return True
 
 
+def _has_room(
+    table: MemberTable, advert: Advert, zone: ZoneName, now: float
+) -> bool:
+    if advert.zone == zone:
+        return True
+    rows = table.in_zone(advert.zone)
+    if len(rows) < REMOTE_PER_ZONE:
+        return True
+    oldest = min(rows, key=lambda m: m.measured_at)
+    if now - oldest.measured_at < REMOTE_REPLACED_S:
+        return False
+    del table.rows[oldest.instance]
+    return True
+
+
 def _is_newer(new: Advert, old: Advert) -> bool:
     return (new.incarnation, new.sequence) > (old.incarnation, old.sequence)
 
@@ -90,6 +124,7 @@
 ) -> None:
     row.state = state
     row.state_since = now
+    row.checks = 0
     sends = UPDATE_SENDS_FACTOR * math.ceil(math.log2(len(table.rows) + 2))
     table.updates[row.instance] = PendingUpdate(
         update=MemberUpdate(
@@ -164,9 +199,64 @@
         _set_state(table, row, MemberState.SUSPECT, now)
 
 
-def forget_probe(table: MemberTable) -> None:
-    """Drop the open probe: after a pause of this process it proves nothing."""
+def forget_silence(table: MemberTable, now: float) -> None:
+    """Begin anew to wait for answers after a pause of this process.
+
+    The silence of others while this process could not hear them proves
+    nothing.
+    """
     table.probe = None
+    for row in table.rows.values():
+        if row.state is MemberState.SUSPECT:
+            row.state_since = now
+
+
+def members_to_check(
+    table: MemberTable, zone: ZoneName, now: float
+) -> list[Member]:
+    """Return dead members to ping before their seats may be claimed."""
+    due = [
+        m
+        for m in table.in_zone(zone)
+        if m.state is MemberState.DEAD
+        and m.checks < CHECKS
+        and now - m.checked_at >= CHECK_PERIOD_S
+    ]
+    for row in due:
+        row.checks += 1
+        row.checked_at = now
+    return due
+
+
+def note_answer(
+    table: MemberTable, sender: Advert, sequence: int, now: float
+) -> None:
+    """Draw conclusions from an answer to this instance's ping `sequence`.
+
+    A lifetime that was known at the sender's address before the ping was
+    sent, and is not the sender's, has ended. A dead member that answers is
+    a suspect again.
+    """
+    for row in list(table.rows.values()):
+        if row.peer != sender.peer or row.life is None:
+            continue
+        if row.life != sender.life:
+            if row.noted_sequence < sequence:
+                note_ended(table, row.life)
+                if row.advert is None:
+                    del table.rows[row.instance]
+            continue
+        row.acked_at = now
+        if row.state is MemberState.DEAD:
+            row.state = MemberState.SUSPECT
+            row.state_since = now
+
+
+def note_ended(table: MemberTable, life: LifeId) -> None:
+    """Keep a lifetime that has provably ended."""
+    table.ended[life] = None
+    while len(table.ended) > ENDED_KEPT:
+        del table.ended[next(iter(table.ended))]
 
 
 def needs_indirect(table: MemberTable, now: float) -> bool:
@@ -188,7 +278,9 @@
     others = [
         m
         for m in table.live_in_zone(zone)
-        if m.instance != target and m.state is MemberState.ALIVE
+        if m.instance != target
+        and m.state is MemberState.ALIVE
+        and m.advert is not None
     ]
     return rng.sample(others, min(INDIRECT_PROBES, len(others)))
 
--- a/chiverun/core/messages.py
+++ b/chiverun/core/messages.py
@@ -78,11 +78,15 @@
 
 
 class Gossip(_Record):
-    """What every ping and acknowledgement carries."""
+    """What every ping and acknowledgement carries.
+
+    `marks_digest` is a hash of the sender's marks of its zone's seats.
+    """
 
     sender: Advert
     number: int
     digest: str
+    marks_digest: int = 0
     updates: tuple[MemberUpdate, ...] = ()
     adverts: tuple[Advert, ...] = ()
     draining: tuple[DrainSign, ...] = ()
@@ -162,12 +166,35 @@
 
 
 class SeatTransfer(_Message, tag=10):
-    """Hands a seat to one process lifetime of an instance."""
+    """Hands a seat to one process lifetime of an instance.
+
+    The slots stay closed to short and long requests for `short_ms` and
+    `long_ms`. `sent_epoch_ms` is the sender's wall clock.
+    """
 
     seat: SeatIndex
     epoch: int
     instance: InstanceId
     life: LifeId
+    short_ms: int
+    long_ms: int
+    sent_epoch_ms: int
+
+
+class SeatMark(_Record):
+    """The latest holder that the sender knows of a seat."""
+
+    seat: SeatIndex
+    epoch: int
+    life: LifeId
+
+
+class SeatMarks(_Message, tag=11):
+    """Marks of the seats of a zone, of which the receiver lacks some."""
+
+    zone: ZoneName
+    sender: Address
+    marks: tuple[SeatMark, ...]
 
 
 Message = (
@@ -181,6 +208,7 @@
     | StateChunk
     | SeatRequest
     | SeatTransfer
+    | SeatMarks
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/chiverun/core/seats.py
+++ b/chiverun/core/seats.py
@@ -7,25 +7,31 @@
 
 import dataclasses
 import math
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import msgspec
+import xxhash
 
 from chiverun.core.admission import CLOCK_MARGIN_S
 from chiverun.core.admission import SHIFT_WINDOW_S
-from chiverun.core.ids import Address
-from chiverun.core.ids import InstanceId
 from chiverun.core.ids import LifeId
 from chiverun.core.ids import SeatIndex
 from chiverun.core.ids import ZoneName
+from chiverun.core.membership import CHECKS
 from chiverun.core.membership import SUSPECT_S
 from chiverun.core.messages import MemberState
+from chiverun.core.messages import SeatMark
 from chiverun.core.tables import Held
+from chiverun.core.tables import Mark
 from chiverun.core.tables import Member
 from chiverun.core.tables import MemberTable
+from chiverun.core.tables import OldClasses
+from chiverun.core.tables import Owner
 from chiverun.core.tables import SeatTable
 from chiverun.core.ticket import Length
+from chiverun.core.ticket import Server
 from chiverun.core.ticket import Service
 
 if TYPE_CHECKING:
@@ -34,20 +40,21 @@
 CLAIM_PERIOD_S = 1.0
 REQUEST_PERIOD_S = 1.0
 TRANSFER_RESEND_S = 0.5
+# A transfer that was queued for longer is refused: its sender may have been
+# paused, and the seat claimed, before it reached the network.
+TRANSFER_AGE_MAX_S = 2.0
 # A claimant waits this long after a holder was declared dead, on top of the
 # time of the detection itself.
 DEAD_BEFORE_CLAIM_S = 1.0
+# Time for a live holder that was wrongly taken for dead to hear of a claim.
+NEWS_MARGIN_S = 2.0
 LISTEN_S = 3.0
-
-
-class Owner(msgspec.Struct, frozen=True, kw_only=True):
-    """The holder of a seat in the store's record."""
-
-    instance: InstanceId
-    life: LifeId
-    incarnation: int
-    peer: Address
-    epoch: int
+# Time that a live instance has to take a seat that was handed to it before
+# another may claim the seat.
+UNCOVERED_S = 10.0
+# Bounds the marks that messages can create.
+SEATS_MAX = 4096
+OLD_CLASSES_MAX = 32
 
 
 class SeatRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,21 +66,30 @@
     owners: dict[SeatIndex, Owner] = {}
     epochs: dict[SeatIndex, int] = {}
 
+    def epoch(self, seat: SeatIndex) -> int:
+        """Return the last epoch of a seat, 0 if it was never held."""
+        owner = self.owners.get(seat)
+        return max(self.epochs.get(seat, 0), owner.epoch if owner else 0)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ClaimPlan:
     """What a claimant asks the store worker to claim.
 
-    `ended` are process lifetimes that provably take no more requests. Of
-    `live` instances this one has the rank `rank`; it prefers every `live`-th
-    seat, since neighbouring seats share the slots of one server.
+    `ended` are process lifetimes that take no more requests. `marks` are the
+    latest holders known of the seats, which the record may not show yet;
+    `overdue` seats have been without a holder for `UNCOVERED_S`. Of `live`
+    instances this one has the rank `rank`; it prefers every `live`-th seat,
+    since neighbouring seats share the slots of one server.
     """
 
     missing: frozenset[SeatIndex]
     most: int
     rank: int
     live: int
-    ended: frozenset[tuple[InstanceId, LifeId]]
+    ended: frozenset[LifeId]
+    marks: Mapping[SeatIndex, Mark]
+    overdue: frozenset[SeatIndex]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -90,6 +106,47 @@
     return math.ceil(seats / max(1, live))
 
 
+def note_mark(table: SeatTable, seat: SeatIndex, mark: Mark) -> bool:
+    """Take over a mark; return whether it is later than the known one."""
+    known = table.marks.get(seat)
+    if not 0 <= seat < SEATS_MAX or (known is not None and mark <= known):
+        return False
+    table.marks[seat] = mark
+    table.digest = None
+    return True
+
+
+def marks_digest(table: SeatTable) -> int:
+    """Return a hash of the marks, 0 if there are none."""
+    if table.digest is None:
+        marks = sorted((s, m.epoch, m.life) for s, m in table.marks.items())
+        data = msgspec.msgpack.encode(marks) if marks else b""
+        table.digest = xxhash.xxh32_intdigest(data) if data else 0
+    return table.digest
+
+
+def later_marks(
+    table: SeatTable, marks: Iterable[SeatMark]
+) -> tuple[SeatMark, ...]:
+    """Return the known marks that are later than the given ones."""
+    return tuple(
+        SeatMark(seat=m.seat, epoch=known.epoch, life=known.life)
+        for m in marks
+        if (known := table.marks.get(m.seat)) is not None
+        and known > Mark(m.epoch, m.life)
+    )
+
+
+def lost_seats(table: SeatTable, life: LifeId) -> set[SeatIndex]:
+    """Return the seats held or being released that a later holder has."""
+    mine = {**table.releasing, **table.held}
+    return {
+        seat
+        for seat, held in mine.items()
+        if seat in table.marks and table.marks[seat] > Mark(held.epoch, life)
+    }
+
+
 def covered_seats(
     table: SeatTable, members: MemberTable, zone: ZoneName
 ) -> set[SeatIndex]:
@@ -103,26 +160,34 @@
 
 def ended_lives(
     members: MemberTable, zone: ZoneName, now: float
-) -> frozenset[tuple[InstanceId, LifeId]]:
-    """Return the process lifetimes of dead members of the zone."""
-    return frozenset(
-        (row.instance, row.life)
+) -> frozenset[LifeId]:
+    """Return the lifetimes that ended or were silent for the dead time.
+
+    A member that others declared dead counts only after this instance's own
+    pings to it stayed without an answer.
+    """
+    silent = {
+        row.life
         for row in members.in_zone(zone)
         if row.life is not None
         and row.state is MemberState.DEAD
         and now - row.state_since >= DEAD_BEFORE_CLAIM_S
         and now - row.measured_at >= SUSPECT_S
-    )
+        and row.acked_at < row.state_since
+        and row.checks >= CHECKS
+        and now - row.checked_at >= DEAD_BEFORE_CLAIM_S / 2
+    }
+    return frozenset(silent | set(members.ended))
 
 
 def select_claims(
-    record: SeatRecord,
-    plan: ClaimPlan,
-    me: Owner,
-    replaced: Mapping[InstanceId, int],
+    record: SeatRecord, plan: ClaimPlan, me: Owner
 ) -> list[Claim]:
     """Choose the seats to claim from the store's record.
 
+    Seats that the record gives to this very lifetime are claimed even above
+    the share, since no other instance may claim them.
+
     Parameters
     ----------
     record : SeatRecord
@@ -130,42 +195,40 @@
     plan : ClaimPlan
     me : Owner
         The claimant.
-    replaced : mapping
-        The incarnation of each live instance: an owner with a lower one is
-        an earlier process of that instance and has ended.
     """
     claims = []
     for seat in sorted(
         plan.missing, key=lambda s: (s % plan.live != plan.rank, s)
     ):
-        if len(claims) >= plan.most:
-            break
         owner = record.owners.get(seat)
-        if owner is None:
-            epoch = record.epochs.get(seat, 0)
-            claims.append(
-                Claim(seat=seat, epoch=epoch + 1, was_used=epoch > 0)
-            )
-        elif _has_ended(owner, plan, me, replaced):
-            claims.append(
-                Claim(seat=seat, epoch=owner.epoch + 1, was_used=True)
-            )
+        is_mine = owner is not None and owner.life == me.life
+        if len(claims) >= plan.most and not is_mine:
+            continue
+        if owner is not None and not _has_ended(owner, plan, me):
+            continue
+        mark = plan.marks.get(seat, Mark(0, LifeId("")))
+        epoch = record.epoch(seat)
+        if (
+            mark.epoch > epoch
+            and mark.life not in plan.ended
+            and mark.life != me.life
+            and seat not in plan.overdue
+        ):
+            continue
+        epoch = max(epoch, mark.epoch)
+        claims.append(Claim(seat=seat, epoch=epoch + 1, was_used=epoch > 0))
     return claims
 
 
-def _has_ended(
-    owner: Owner,
-    plan: ClaimPlan,
-    me: Owner,
-    replaced: Mapping[InstanceId, int],
-) -> bool:
-    if owner.instance == me.instance:
-        # Either an earlier process of this instance, or a seat that this
-        # process gave up without the record being changed.
-        return True
-    if (owner.instance, owner.life) in plan.ended:
-        return True
-    return replaced.get(owner.instance, 0) > owner.incarnation
+def _has_ended(owner: Owner, plan: ClaimPlan, me: Owner) -> bool:
+    # An owner at this process's own address is an earlier process, since an
+    # address is bound by one process at a time. The instance's name alone
+    # proves nothing: a replacement elsewhere may have the same name.
+    return (
+        owner.life in plan.ended
+        or me.life == owner.life
+        or (owner.peer == me.peer)
+    )
 
 
 def with_owners(
@@ -174,10 +237,7 @@
     """Return the record with new owners; older epochs change nothing."""
     merged = dict(record.owners)
     for seat, owner in owners.items():
-        known = record.epochs.get(seat, 0)
-        if seat in merged:
-            known = max(known, merged[seat].epoch)
-        if owner.epoch > known:
+        if owner.epoch > record.epoch(seat):
             merged[seat] = owner
     return SeatRecord(owners=merged, epochs=record.epochs)
 
@@ -205,46 +265,87 @@
     return max(deadlines, default=0) / 1000.0
 
 
-def held_after_claim(state: "State", claim: Claim, now: float) -> Held:
+def note_old_classes(
+    table: SeatTable, old: "State", new: "State", now: float
+) -> None:
+    """Keep the deadlines of a state while work under it may still run."""
+    table.old_classes = [o for o in table.old_classes if o.until > now]
+    short_s = longest_deadline_s(old, Length.SHORT)
+    long_s = longest_deadline_s(old, Length.LONG)
+    is_relaid = _long_slots(old) != _long_slots(new)
+    if (
+        is_relaid
+        or longest_deadline_s(new, Length.SHORT) < short_s
+        or longest_deadline_s(new, Length.LONG) < long_s
+    ):
+        kept = OldClasses(
+            until=now + max(short_s, long_s) + CLOCK_MARGIN_S,
+            short_s=short_s,
+            long_s=long_s,
+            is_relaid=is_relaid,
+        )
+        table.old_classes.append(kept)
+    if len(table.old_classes) > OLD_CLASSES_MAX:
+        first, second = table.old_classes[:2]
+        table.old_classes[:2] = [_merged(first, second)]
+
+
+def _merged(first: OldClasses, second: OldClasses) -> OldClasses:
+    return OldClasses(
+        until=max(first.until, second.until),
+        short_s=max(first.short_s, second.short_s),
+        long_s=max(first.long_s, second.long_s),
+        is_relaid=first.is_relaid or second.is_relaid,
+    )
+
+
+def _long_slots(state: "State") -> dict[str, int]:
+    return {s.name: s.long_slots for s in state.of(Server).values()}
+
+
+def held_after_claim(
+    table: SeatTable, state: "State", claim: Claim, now: float
+) -> Held:
     """Return the held seat, opening when no earlier work can still run."""
     if not claim.was_used:
         return Held(epoch=claim.epoch, short_from=now, long_from=now)
-    short_s = longest_deadline_s(state, Length.SHORT) + CLOCK_MARGIN_S
-    long_s = longest_deadline_s(state, Length.LONG) + CLOCK_MARGIN_S
-    short_from = now + max(short_s, SHIFT_WINDOW_S)
+    short_s = longest_deadline_s(state, Length.SHORT)
+    long_s = longest_deadline_s(state, Length.LONG)
+    for old in table.old_classes:
+        if old.until > now:
+            long_s = max(long_s, old.long_s)
+            short_s = max(short_s, long_s if old.is_relaid else old.short_s)
+    margin_s = CLOCK_MARGIN_S + NEWS_MARGIN_S
+    short_from = now + max(short_s + margin_s, SHIFT_WINDOW_S)
     return Held(
         epoch=claim.epoch,
         short_from=short_from,
-        long_from=max(short_from, now + long_s),
+        long_from=max(short_from, now + long_s + margin_s),
     )
 
 
-def held_after_transfer(epoch: int, now: float) -> Held:
+def held_after_transfer(
+    epoch: int, now: float, short_from: float, long_from: float
+) -> Held:
     """Return a seat handed over by its idle holder.
 
     It opens after one window of the shift limiter, since admissions of the
-    earlier holder still count in that window.
+    earlier holder still count in that window, and not before it would have
+    opened for that holder.
     """
     opens_at = now + SHIFT_WINDOW_S
-    return Held(epoch=epoch, short_from=opens_at, long_from=opens_at)
+    return Held(
+        epoch=epoch,
+        short_from=max(opens_at, short_from),
+        long_from=max(opens_at, long_from),
+    )
 
 
 def richest_member(members: MemberTable, zone: ZoneName) -> Member | None:
-    """Return the live member that holds the most seats."""
-    rows = [m for m in members.live_in_zone(zone) if m.advert is not None]
+    """Return the live member that holds the most seats and stays."""
+    rows = [
+        m
+        for m in members.live_in_zone(zone)
+        if m.advert is not None and not m.advert.leaving
+    ]
     return max(rows, key=lambda m: len(m.advert.seats), default=None)
-
-
-def lost_to_others(
-    table: SeatTable, members: MemberTable, zone: ZoneName
-) -> set[SeatIndex]:
-    """Return held seats that a member holds with a higher epoch."""
-    lost = set()
-    for row in members.in_zone(zone):
-        if row.advert is None:
-            continue
-        for claim in row.advert.seats:
-            held = table.held.get(claim.seat)
-            if held is not None and claim.epoch > held.epoch:
-                lost.add(claim.seat)
-    return lost
--- a/chiverun/core/tables.py
+++ b/chiverun/core/tables.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from chiverun.core.ids import Address
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import LifeId
@@ -18,7 +20,10 @@
     """Row of an instance; times are monotonic seconds.
 
     `advert` is None for an instance known only from the seat record.
-    `measured_at` is when its advert was made.
+    `measured_at` is when its advert was made. `noted_sequence` is the number
+    of the last ping sent before `life` was learned; `synced_sequence` that
+    of the last ping whose acknowledgement showed equal seat marks. `checks`
+    counts the pings since the member was declared dead.
     """
 
     instance: InstanceId
@@ -29,6 +34,10 @@
     state: MemberState = MemberState.ALIVE
     state_since: float = 0.0
     acked_at: float = float("-inf")
+    noted_sequence: int = 0
+    synced_sequence: int = -1
+    checks: int = 0
+    checked_at: float = float("-inf")
     advert: Advert | None = None
     measured_at: float = float("-inf")
 
@@ -59,7 +68,11 @@
 
 @dataclasses.dataclass(kw_only=True)
 class MemberTable:
-    """Known instances, without this one, and the state of probing them."""
+    """Known instances, without this one, and the state of probing them.
+
+    `ended` are process lifetimes that have provably ended, since another
+    lifetime answered a later ping to their address.
+    """
 
     rows: dict[InstanceId, Member] = dataclasses.field(default_factory=dict)
     updates: dict[InstanceId, PendingUpdate] = dataclasses.field(
@@ -70,6 +83,7 @@
     relayed: dict[int, tuple[Address, int]] = dataclasses.field(
         default_factory=dict
     )
+    ended: dict[LifeId, None] = dataclasses.field(default_factory=dict)
     sequence: int = 0
     next_probe_at: float = 0.0
 
@@ -100,6 +114,8 @@
     """
 
     epoch: int
+    short_from: float
+    long_from: float
     receiver: InstanceId | None
     is_published: bool = False
 
@@ -109,17 +125,56 @@
     """A seat handed over, until the receiver is seen to hold it."""
 
     epoch: int
+    short_from: float
+    long_from: float
     receiver: InstanceId
     life: LifeId
     sent_at: float = float("-inf")
 
 
+class Owner(msgspec.Struct, frozen=True, kw_only=True):
+    """The holder of a seat in the store's record."""
+
+    instance: InstanceId
+    life: LifeId
+    incarnation: int
+    peer: Address
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OldClasses:
+    """Deadlines that were in force before a ticket changed them.
+
+    Work admitted under them may run until `until`. With `is_relaid`, a slot
+    may have carried a long request that carries only short ones now.
+    """
+
+    until: float
+    short_s: float
+    long_s: float
+    is_relaid: bool
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Mark:
+    """The latest holder known of a seat; the greater mark is the later."""
+
+    epoch: int
+    life: LifeId
+
+
 @dataclasses.dataclass(kw_only=True)
 class SeatTable:
     """Seats of this instance.
 
-    `epochs` holds the highest epoch ever seen of each seat. While
-    `suspended_at` is set, the seats may not be used.
+    `marks` holds the latest holder ever heard of for each seat, `digest` a
+    hash of them (None when to be computed); `taken` the epochs of transfers
+    that this instance has taken, so that it takes none twice. `news` are
+    seats gained lately, with the number of times left to tell the zone.
+    While `suspended_at` is set, the seats may not be used; acknowledgements
+    of pings numbered above `suspended_sequence` were made after the pause.
+    `unwritten` and `ungiven` await being written to the store's record.
     """
 
     held: dict[SeatIndex, Held] = dataclasses.field(default_factory=dict)
@@ -129,12 +184,28 @@
     transfers: dict[SeatIndex, Transfer] = dataclasses.field(
         default_factory=dict
     )
-    epochs: dict[SeatIndex, int] = dataclasses.field(default_factory=dict)
+    marks: dict[SeatIndex, Mark] = dataclasses.field(default_factory=dict)
+    digest: int | None = None
+    taken: dict[SeatIndex, int] = dataclasses.field(default_factory=dict)
+    news: dict[SeatIndex, int] = dataclasses.field(default_factory=dict)
+    news_at: float = float("-inf")
+    uncovered_since: dict[SeatIndex, float] = dataclasses.field(
+        default_factory=dict
+    )
     suspended_at: float | None = None
+    suspended_sequence: int = 0
+    is_record_read: bool = False
+    confirm_sent_at: float = float("-inf")
     claim_pending_since: float | None = None
-    claimed_at: float = float("-inf")
+    claim_at: float = float("-inf")
     requested_at: float = float("-inf")
-    record_dirty: bool = False
+    read_pending_since: float | None = None
+    read_at: float = float("-inf")
+    unwritten: dict[SeatIndex, Owner] = dataclasses.field(default_factory=dict)
+    ungiven: dict[SeatIndex, int] = dataclasses.field(default_factory=dict)
+    write_pending_since: float | None = None
+    write_at: float = float("-inf")
+    old_classes: list[OldClasses] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/chiverun/runtime/context.py
+++ b/chiverun/runtime/context.py
@@ -87,6 +87,7 @@
         self.fork: str | None = None
         self.in_force_at = clock.monotonic()
         self.sequence = 0
+        self.started_at = clock.monotonic()
         self.ticked_at: float | None = None
         self.seeds_pinged_at = float("-inf")
         self.chunks: dict[int, StateChunk] = {}
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -17,6 +17,7 @@
 from chiverun.core.messages import Ping
 from chiverun.core.messages import PingRequest
 from chiverun.core.messages import Pull
+from chiverun.core.messages import SeatMarks
 from chiverun.core.messages import SeatRequest
 from chiverun.core.messages import SeatTransfer
 from chiverun.core.messages import StateChunk
@@ -72,6 +73,7 @@
 
     def receive(self, message: Message) -> None:
         """Handle a message of a peer."""
+        seatsystem.run_pause(self, self.clock.monotonic())
         match message:
             case Ping(sequence=sequence, gossip=content):
                 gossip.merge(self, content)
@@ -96,9 +98,12 @@
                 seattransfer.on_seat_request(self, message)
             case SeatTransfer():
                 seattransfer.on_seat_transfer(self, message)
+            case SeatMarks():
+                gossip.on_marks(self, message)
 
     def handle(self, event: Event) -> None:
         """Handle a report of the store worker or an order of the instance."""
+        seatsystem.run_pause(self, self.clock.monotonic())
         match event:
             case SeatsClaimed():
                 seatsystem.on_claimed(self, event)
@@ -119,14 +124,14 @@
                 publishing.publish(self, self.clock.monotonic())
                 gossip.ping_zone(self)
             case HandOver():
-                seattransfer.hand_over(self)
+                self.is_handing_over = True
 
     @property
     def has_handed_over(self) -> bool:
         """Whether no seat is left here after `HandOver`."""
         seats = self.seats
         return self.is_handing_over and not (
-            seats.held or seats.releasing or seats.transfers
+            seats.held or seats.releasing or seats.transfers or seats.ungiven
         )
 
     def is_watcher(self) -> bool:
--- a/chiverun/runtime/events.py
+++ b/chiverun/runtime/events.py
@@ -4,10 +4,10 @@
 from typing import TYPE_CHECKING
 
 from chiverun.core import seats as seat_rules
-from chiverun.core.ids import InstanceId
 from chiverun.core.ids import SeatIndex
 from chiverun.core.ids import ServerName
 from chiverun.core.state import State
+from chiverun.core.tables import Owner
 from chiverun.core.ticketlog import Entry
 
 if TYPE_CHECKING:
@@ -22,8 +22,7 @@
     """Claim seats of the zone in the store's record."""
 
     plan: seat_rules.ClaimPlan
-    me: seat_rules.Owner
-    replaced: dict[InstanceId, int]
+    me: Owner
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -37,7 +36,7 @@
 class WriteSeats:
     """Write owners, and give up seats (by epoch), in the record."""
 
-    owners: dict[SeatIndex, seat_rules.Owner]
+    owners: dict[SeatIndex, Owner]
     given_up: dict[SeatIndex, int]
 
 
--- a/chiverun/runtime/gossip.py
+++ b/chiverun/runtime/gossip.py
@@ -4,6 +4,7 @@
 
 from chiverun.core import dissemination
 from chiverun.core import membership
+from chiverun.core import seats as seat_rules
 from chiverun.core.ids import Address
 from chiverun.core.ids import InstanceId
 from chiverun.core.messages import Ack
@@ -12,6 +13,9 @@
 from chiverun.core.messages import MemberState
 from chiverun.core.messages import Ping
 from chiverun.core.messages import SeatClaim
+from chiverun.core.messages import SeatMark
+from chiverun.core.messages import SeatMarks
+from chiverun.core.tables import Mark
 from chiverun.runtime import ticketspread
 
 if TYPE_CHECKING:
@@ -48,6 +52,7 @@
         sender=make_advert(ctx),
         number=ctx.state.number,
         digest=ctx.state.digest,
+        marks_digest=seat_rules.marks_digest(ctx.seats),
         updates=membership.take_updates(ctx.members, about),
         adverts=dissemination.select_adverts(ctx.members, now, ctx.rng),
         draining=dissemination.select_drain_signs(ctx.drains, now),
@@ -66,44 +71,88 @@
     ctx.send(address, Ping(sequence=sequence, gossip=_gossip(ctx, about)))
 
 
+def ping_numbered(
+    ctx: "ControlContext", address: Address, about: InstanceId | None
+) -> None:
+    """Send a ping with a number of its own, outside of the probing."""
+    ctx.members.sequence += 1
+    ping(ctx, address, about)
+
+
 def reply(ctx: "ControlContext", sender: Advert, sequence: int) -> None:
     """Acknowledge a ping."""
-    gossip = _gossip(ctx, sender.instance)
-    ctx.send(sender.peer, Ack(sequence=sequence, gossip=gossip))
+    content = _gossip(ctx, sender.instance)
+    ctx.send(sender.peer, Ack(sequence=sequence, gossip=content))
 
 
 def ping_zone(ctx: "ControlContext") -> None:
     """Ping all live members of the zone."""
     for row in ctx.members.live_in_zone(ctx.identity.zone):
-        ping(ctx, row.peer, row.instance, sequence=0)
+        ping_numbered(ctx, row.peer, row.instance)
 
 
-def merge(ctx: "ControlContext", gossip: Gossip) -> None:
+def merge(ctx: "ControlContext", content: Gossip) -> None:
     """Take over what a ping or an acknowledgement carries."""
     now = ctx.clock.monotonic()
-    for advert in (gossip.sender, *gossip.adverts):
+    zone = ctx.identity.zone
+    for advert in (content.sender, *content.adverts):
         if advert.instance != ctx.identity.instance:
-            membership.merge_advert(ctx.members, advert, now)
-            _note_epochs(ctx, advert)
+            membership.merge_advert(ctx.members, advert, zone, now)
         elif advert.life != ctx.identity.life:
             _outlive(ctx, advert)
-    for update in gossip.updates:
+        _note_marks(ctx, advert)
+    for update in content.updates:
         if update.instance == ctx.identity.instance:
             _refute(ctx, update.incarnation, update.state)
         else:
             membership.merge_update(ctx.members, update, now)
-    dissemination.merge_drain_signs(ctx.drains, gossip.draining, now)
-    _check_fork(ctx, gossip)
-    ticketspread.pull_if_behind(ctx, gossip.sender.peer, gossip.number)
+    dissemination.merge_drain_signs(ctx.drains, content.draining, now)
+    _check_fork(ctx, content)
+    ticketspread.pull_if_behind(ctx, content.sender.peer, content.number)
+    if content.sender.zone == zone and not has_same_marks(ctx, content):
+        send_marks(ctx, content.sender.peer, _all_marks(ctx))
+
+
+def has_same_marks(ctx: "ControlContext", content: Gossip) -> bool:
+    """Tell whether the sender knew the same holders of the zone's seats."""
+    return content.marks_digest == seat_rules.marks_digest(ctx.seats)
+
+
+def _note_marks(ctx: "ControlContext", advert: Advert) -> None:
+    if advert.zone == ctx.identity.zone:
+        for claim in advert.seats:
+            mark = Mark(claim.epoch, advert.life)
+            seat_rules.note_mark(ctx.seats, claim.seat, mark)
+
+
+def _all_marks(ctx: "ControlContext") -> tuple[SeatMark, ...]:
+    return tuple(
+        SeatMark(seat=seat, epoch=mark.epoch, life=mark.life)
+        for seat, mark in ctx.seats.marks.items()
+    )
+
+
+def send_marks(
+    ctx: "ControlContext", address: Address, marks: tuple[SeatMark, ...]
+) -> None:
+    """Tell an instance of the zone which holders are known."""
+    if marks:
+        ctx.send(
+            address,
+            SeatMarks(
+                zone=ctx.identity.zone, sender=ctx.identity.peer, marks=marks
+            ),
+        )
 
 
-def _note_epochs(ctx: "ControlContext", advert: Advert) -> None:
-    if advert.zone != ctx.identity.zone:
+def on_marks(ctx: "ControlContext", message: SeatMarks) -> None:
+    """Take over later holders; answer with those the sender lacks."""
+    if message.zone != ctx.identity.zone:
         return
-    for claim in advert.seats:
-        known = ctx.seats.epochs.get(claim.seat, 0)
-        if claim.epoch > known and claim.seat not in ctx.seats.held:
-            ctx.seats.epochs[claim.seat] = claim.epoch
+    for m in message.marks:
+        seat_rules.note_mark(ctx.seats, m.seat, Mark(m.epoch, m.life))
+    later = seat_rules.later_marks(ctx.seats, message.marks)
+    send_marks(ctx, message.sender, later)
 
 
 def _outlive(ctx: "ControlContext", advert: Advert) -> None:
@@ -119,10 +168,13 @@
         ctx.incarnation = incarnation + 1
 
 
-def _check_fork(ctx: "ControlContext", gossip: Gossip) -> None:
-    if gossip.number == ctx.state.number and gossip.digest != ctx.state.digest:
+def _check_fork(ctx: "ControlContext", content: Gossip) -> None:
+    if (
+        content.number == ctx.state.number
+        and content.digest != ctx.state.digest
+    ):
         ticketspread.note_fork(
             ctx,
-            f"instance {gossip.sender.instance} has another ticket "
-            f"{gossip.number}",
+            f"instance {content.sender.instance} has another ticket "
+            f"{content.number}",
         )
--- a/chiverun/runtime/membersystem.py
+++ b/chiverun/runtime/membersystem.py
@@ -23,6 +23,10 @@
     membership.expire(ctx.members, ctx.identity.zone, now)
     if membership.needs_indirect(ctx.members, now):
         _ask_indirect(ctx)
+    for row in membership.members_to_check(
+        ctx.members, ctx.identity.zone, now
+    ):
+        gossip.ping_numbered(ctx, row.peer, row.instance)
     if now < ctx.members.next_probe_at:
         return
     ctx.members.next_probe_at = now + membership.PERIOD_S
@@ -73,10 +77,14 @@
 def on_ack(ctx: "ControlContext", sequence: int, content: Gossip) -> None:
     """Note an acknowledgement, and pass it on if it was relayed."""
     now = ctx.clock.monotonic()
+    if 0 < sequence <= ctx.members.sequence:
+        membership.note_answer(ctx.members, content.sender, sequence, now)
     gossip.merge(ctx, content)
     row = ctx.members.rows.get(content.sender.instance)
-    if row is not None:
+    if row is not None and row.life == content.sender.life:
         row.acked_at = now
+        if gossip.has_same_marks(ctx, content):
+            row.synced_sequence = max(row.synced_sequence, sequence)
     relayed = ctx.members.relayed.pop(sequence, None)
     if relayed is not None:
         address, original = relayed
@@ -91,9 +99,10 @@
     """Ping a third instance for a peer."""
     ctx.members.sequence += 1
     own = ctx.members.sequence
-    if len(ctx.members.relayed) > 256:
-        ctx.members.relayed.clear()
-    ctx.members.relayed[own] = (sender, sequence)
+    relayed = ctx.members.relayed
+    while len(relayed) >= membership.RELAYED_MAX:
+        del relayed[next(iter(relayed))]
+    relayed[own] = (sender, sequence)
     gossip.ping(ctx, target, None, sequence=own)
 
 
--- a/chiverun/runtime/seatsystem.py
+++ b/chiverun/runtime/seatsystem.py
@@ -7,8 +7,14 @@
 from chiverun.core import membership
 from chiverun.core import seats as seat_rules
 from chiverun.core.admission import PAUSE_LIMIT_S
+from chiverun.core.ids import InstanceId
+from chiverun.core.ids import SeatIndex
+from chiverun.core.messages import SeatMark
+from chiverun.core.tables import Mark
 from chiverun.core.tables import Member
 from chiverun.core.ticket import Zone
+from chiverun.runtime import gossip
+from chiverun.runtime import membersystem
 from chiverun.runtime import seattransfer
 from chiverun.runtime.events import ClaimSeats
 from chiverun.runtime.events import ReadSeats
@@ -19,23 +25,48 @@
     from chiverun.core.seats import SeatRecord
     from chiverun.runtime.context import ControlContext
 
-_CLAIM_ANSWER_LIMIT_S = 30.0
+# Longer than any chain of store time-outs of one job; the job's report was
+# lost if it is not there by then.
+_JOB_LIMIT_S = 30.0
+# Claims above the share, of seats that only this instance may claim.
+_OWN_CLAIM_PERIOD_S = 5.0
+# Time to hear of the zone's members before the first claim.
+_START_LISTEN_S = 1.0
+_CONFIRM_PING_S = 0.5
+# An instance that no member of its zone has answered for this long reads
+# the record, since others may take it for dead and claim its seats.
+_ALONE_S = 2.5
+_ALONE_READ_PERIOD_S = 1.0
+# A watcher compares the record with the holders, in case the store was
+# restored to older data or a writer died.
+_RECORD_CHECK_PERIOD_S = 5.0
+_NEWS_PERIOD_S = 0.5
 _LOG = logbook.Logger("control")
 
 
 def run_pause(ctx: "ControlContext", now: float) -> None:
-    """Suspend the seats if the last tick is too long ago."""
+    """Suspend the seats if the last tick is too long ago.
+
+    Runs before anything else is handled, so that nothing that happens
+    between the pause and the next tick can publish or hand over seats.
+    """
     last = ctx.ticked_at
     if last is None or now - last <= PAUSE_LIMIT_S:
         return
-    membership.forget_probe(ctx.members)
-    if ctx.seats.held:
-        _LOG.warning(
-            "seats suspended after a pause",
-            extra={"pause_s": round(now - last, 3)},
-        )
-        ctx.seats.suspended_at = now
-        ctx.submit(ReadSeats(asked_at=now))
+    ctx.ticked_at = now
+    membership.forget_silence(ctx.members, now)
+    _LOG.warning(
+        "seats suspended after a pause",
+        extra={"pause_s": round(now - last, 3)},
+    )
+    seats = ctx.seats
+    seats.suspended_at = now
+    seats.suspended_sequence = ctx.members.sequence
+    seats.is_record_read = False
+    seats.confirm_sent_at = float("-inf")
+    # A transfer that did not arrive may have been overtaken by a claim.
+    seats.transfers.clear()
+    _read_record(ctx, now)
 
 
 def run_seats(ctx: "ControlContext", now: float) -> None:
@@ -47,35 +78,76 @@
     for seat in [s for s in ctx.seats.held if s >= zone.seats]:
         del ctx.seats.held[seat]
     _drop_lost_seats(ctx)
-    _confirm_by_peers(ctx, now)
+    _read_record_if_due(ctx, now)
+    seattransfer.flush_writes(ctx, now)
+    if ctx.seats.suspended_at is not None:
+        _confirm_if_proven(ctx, now)
+        return
+    if ctx.is_handing_over:
+        seattransfer.release_all(ctx)
     seattransfer.finish_releases(ctx, now)
     seattransfer.resend_transfers(ctx, now)
-    if ctx.seats.suspended_at is not None or ctx.is_leaving:
+    _tell_news(ctx, now)
+    if ctx.is_leaving:
         return
     _claim_missing(ctx, zone, now)
     seattransfer.request_share(ctx, zone, now)
 
 
 def _drop_lost_seats(ctx: "ControlContext") -> None:
-    for seat in seat_rules.lost_to_others(
-        ctx.seats, ctx.members, ctx.identity.zone
-    ):
+    for seat in seat_rules.lost_seats(ctx.seats, ctx.identity.life):
         _LOG.warning("seat lost to a later holder", extra={"seat": seat})
-        del ctx.seats.held[seat]
+        _drop(ctx, seat)
+
+
+def _drop(ctx: "ControlContext", seat: SeatIndex) -> None:
+    ctx.seats.held.pop(seat, None)
+    ctx.seats.releasing.pop(seat, None)
 
 
-def _confirm_by_peers(ctx: "ControlContext", now: float) -> None:
-    """Confirm suspended seats when the store cannot be asked."""
-    since = ctx.seats.suspended_at
-    if since is None or now - since < seat_rules.LISTEN_S:
+def _tell_news(ctx: "ControlContext", now: float) -> None:
+    """Tell the zone of seats gained lately, so that an earlier holder that
+    was wrongly taken for dead hears of it before they open.
+    """
+    seats = ctx.seats
+    if not seats.news or now - seats.news_at < _NEWS_PERIOD_S:
         return
-    waiting = [
-        m
-        for m in ctx.members.live_in_zone(ctx.identity.zone)
-        if m.acked_at < since and m.measured_at < since
+    seats.news_at = now
+    marks = tuple(
+        SeatMark(seat=s, epoch=seats.marks[s].epoch, life=seats.marks[s].life)
+        for s in seats.news
+    )
+    for row in ctx.members.in_zone(ctx.identity.zone):
+        gossip.send_marks(ctx, row.peer, marks)
+    seats.news = {s: n - 1 for s, n in seats.news.items() if n > 1}
+
+
+# Suspension.
+
+
+def _confirm_if_proven(ctx: "ControlContext", now: float) -> None:
+    """End the suspension when nothing can have happened to the seats.
+
+    Acknowledgements count only if their pings were sent after the pause:
+    messages that were queued during it show the past.
+    """
+    seats = ctx.seats
+    rows = ctx.members.live_in_zone(ctx.identity.zone)
+    unsynced = [
+        m for m in rows if m.synced_sequence <= seats.suspended_sequence
     ]
-    if not waiting:
+    silent = [m for m in rows if m.acked_at < seats.suspended_at]
+    has_listened = now - seats.suspended_at >= seat_rules.LISTEN_S
+    if seats.is_record_read and (has_listened or not unsynced):
+        _confirm(ctx, "store")
+    elif has_listened and not unsynced and rows:
         _confirm(ctx, "peers")
+    elif has_listened and len(silent) == len(rows):
+        _confirm(ctx, "silence")
+    elif now - seats.confirm_sent_at >= _CONFIRM_PING_S:
+        seats.confirm_sent_at = now
+        for row in unsynced:
+            gossip.ping_numbered(ctx, row.peer, row.instance)
 
 
 def _confirm(ctx: "ControlContext", source: str) -> None:
@@ -83,6 +155,9 @@
     _LOG.info("seats confirmed", extra={"source": source})
 
 
+# Claims.
+
+
 def _sharers(ctx: "ControlContext") -> list[Member]:
     """Return the other instances that share the zone's seats."""
     return [
@@ -92,105 +167,163 @@
     ]
 
 
-def _live_count(ctx: "ControlContext") -> int:
-    return 1 + len(_sharers(ctx))
-
-
-def _rank(ctx: "ControlContext") -> int:
-    me = ctx.identity.instance
-    return sum(1 for m in _sharers(ctx) if m.instance < me)
-
-
 def _claim_missing(ctx: "ControlContext", zone: Zone, now: float) -> None:
     seats = ctx.seats
-    pending = seats.claim_pending_since
-    if pending is not None and now - pending < _CLAIM_ANSWER_LIMIT_S:
-        return
-    if now - seats.claimed_at < seat_rules.CLAIM_PERIOD_S:
-        return
     covered = seat_rules.covered_seats(seats, ctx.members, zone.name)
     missing = set(range(zone.seats)) - covered
-    most = seat_rules.share(zone.seats, _live_count(ctx))
-    most -= len(seats.held)
-    if not missing or most <= 0:
+    seats.uncovered_since = {
+        s: seats.uncovered_since.get(s, now) for s in missing
+    }
+    if not missing or now < seats.claim_at or not _may_claim(ctx, now):
         return
+    sharers = _sharers(ctx)
+    live = 1 + len(sharers)
+    most = max(0, seat_rules.share(zone.seats, live) - len(seats.held))
+    period_s = seat_rules.CLAIM_PERIOD_S if most else _OWN_CLAIM_PERIOD_S
+    seats.claim_at = now + period_s * ctx.rng.uniform(0.7, 1.3)
     seats.claim_pending_since = now
-    ctx.submit(
-        ClaimSeats(
-            plan=seat_rules.ClaimPlan(
-                missing=frozenset(missing),
-                most=most,
-                rank=_rank(ctx),
-                live=_live_count(ctx),
-                ended=seat_rules.ended_lives(ctx.members, zone.name, now),
-            ),
-            me=_owner(ctx, 0),
-            replaced={
-                m.instance: m.incarnation
-                for m in ctx.members.live_in_zone(zone.name)
-                if m.advert is not None
-            },
-        )
+    plan = seat_rules.ClaimPlan(
+        missing=frozenset(missing),
+        most=most,
+        rank=sum(1 for m in sharers if m.instance < ctx.identity.instance),
+        live=live,
+        ended=seat_rules.ended_lives(ctx.members, zone.name, now),
+        marks=dict(seats.marks),
+        overdue=frozenset(
+            s
+            for s, since in seats.uncovered_since.items()
+            if now - since >= seat_rules.UNCOVERED_S
+        ),
     )
+    ctx.submit(ClaimSeats(plan=plan, me=seattransfer.own_owner(ctx, 0)))
+
+
+def _may_claim(ctx: "ControlContext", now: float) -> bool:
+    """Tell whether this instance knows enough of the zone to claim."""
+    pending = ctx.seats.claim_pending_since
+    if pending is not None and now - pending < _JOB_LIMIT_S:
+        return False
+    if now - ctx.started_at < _START_LISTEN_S:
+        return False
+    sharers = _sharers(ctx)
+    return not sharers or any(m.synced_sequence >= 0 for m in sharers)
 
 
 def on_claimed(ctx: "ControlContext", report: SeatsClaimed) -> None:
     """Take over the seats whose claims took effect."""
     now = ctx.clock.monotonic()
     ctx.seats.claim_pending_since = None
-    ctx.seats.claimed_at = now
+    if report.record is not None:
+        _note_record(ctx, report.record)
     for claim in report.claims:
-        if claim.epoch <= ctx.seats.epochs.get(claim.seat, 0):
+        mark = Mark(claim.epoch, ctx.identity.life)
+        known = ctx.seats.marks.get(claim.seat)
+        if claim.seat in ctx.seats.held or (known and known > mark):
             continue
-        ctx.seats.epochs[claim.seat] = claim.epoch
         ctx.seats.held[claim.seat] = seat_rules.held_after_claim(
-            ctx.state, claim, now
+            ctx.seats, ctx.state, claim, now
         )
+        seattransfer.gain(ctx, claim.seat, claim.epoch)
     if report.claims:
         _LOG.info("seats claimed", extra={"count": len(report.claims)})
-    if report.record is not None:
-        _note_owners(ctx, report.record, now)
 
 
-def _note_owners(
-    ctx: "ControlContext", record: "SeatRecord", now: float
-) -> None:
-    """Add owners that were never heard of, so that they are probed."""
-    for owner in record.owners.values():
+# The store's record.
+
+
+def _read_record(ctx: "ControlContext", now: float) -> None:
+    ctx.seats.read_pending_since = now
+    ctx.seats.read_at = now
+    ctx.submit(ReadSeats(asked_at=now))
+
+
+def _read_record_if_due(ctx: "ControlContext", now: float) -> None:
+    seats = ctx.seats
+    pending = seats.read_pending_since
+    if pending is not None and now - pending < _JOB_LIMIT_S:
+        return
+    zone = ctx.identity.zone
+    is_alone = not any(
+        now - m.acked_at <= _ALONE_S for m in ctx.members.in_zone(zone)
+    )
+    if seats.suspended_at is not None or (is_alone and seats.held):
+        period_s = _ALONE_READ_PERIOD_S
+    elif membersystem.is_watcher(ctx):
+        period_s = _RECORD_CHECK_PERIOD_S
+    else:
+        return
+    if now - seats.read_at >= period_s:
+        _read_record(ctx, now)
+
+
+def on_seats_read(ctx: "ControlContext", report: SeatsRead) -> None:
+    """Compare the record with the seats held here and by members."""
+    seats = ctx.seats
+    seats.read_pending_since = None
+    if report.record is None:
+        return
+    _note_record(ctx, report.record)
+    since = seats.suspended_at
+    if since is None:
+        _repair_record(ctx, report.record)
+        return
+    if report.asked_at < since:
+        return
+    # Another owner may have claimed from older data of a restored store, so
+    # that its epoch is lower; giving up the seat is always safe.
+    for seat in [*seats.held, *seats.releasing]:
+        owner = report.record.owners.get(seat)
+        if owner is not None and owner.life != ctx.identity.life:
+            _drop(ctx, seat)
+    seats.is_record_read = True
+
+
+def _repair_record(ctx: "ControlContext", record: "SeatRecord") -> None:
+    """Write owners that the record lacks; it keeps later epochs."""
+    owners = {
+        seat: seattransfer.own_owner(ctx, held.epoch)
+        for seat, held in ctx.seats.held.items()
+    }
+    for row in ctx.members.live_in_zone(ctx.identity.zone):
+        for claim in row.advert.seats if row.advert else ():
+            known = owners.get(claim.seat)
+            if known is None or claim.epoch > known.epoch:
+                owners[claim.seat] = seattransfer.member_owner(
+                    row, claim.epoch
+                )
+    seattransfer.queue_write(
+        ctx,
+        {s: o for s, o in owners.items() if o.epoch > record.epoch(s)},
+        {},
+    )
+
+
+def _note_record(ctx: "ControlContext", record: "SeatRecord") -> None:
+    """Note owners and marks; unknown owners become members to be probed."""
+    now = ctx.clock.monotonic()
+    rows = ctx.members.rows
+    lives = {m.life for m in rows.values()}
+    for seat, owner in record.owners.items():
+        mark = Mark(owner.epoch, owner.life)
+        seat_rules.note_mark(ctx.seats, seat, mark)
         if (
-            owner.instance == ctx.identity.instance
-            or owner.instance in ctx.members.rows
+            owner.life in lives
+            or owner.life in ctx.members.ended
+            or owner.peer == ctx.identity.peer
         ):
             continue
-        ctx.members.rows[owner.instance] = Member(
-            instance=owner.instance,
+        lives.add(owner.life)
+        # '~' cannot be part of an instance's name.
+        name = owner.instance
+        if name in rows or name == ctx.identity.instance:
+            name = InstanceId(f"{owner.instance}~{owner.life}")
+        rows[name] = Member(
+            instance=name,
             zone=ctx.identity.zone,
             peer=owner.peer,
             incarnation=owner.incarnation,
             life=owner.life,
             state_since=now,
+            noted_sequence=ctx.members.sequence,
         )
-
-
-def on_seats_read(ctx: "ControlContext", report: SeatsRead) -> None:
-    """Confirm suspended seats by the record."""
-    since = ctx.seats.suspended_at
-    if since is None or report.record is None or report.asked_at < since:
-        return
-    for seat, held in list(ctx.seats.held.items()):
-        owner = report.record.owners.get(seat)
-        if owner is None or owner.epoch < held.epoch:
-            continue
-        if owner.life != ctx.identity.life:
-            del ctx.seats.held[seat]
-    _confirm(ctx, "store")
-
-
-def _owner(ctx: "ControlContext", epoch: int) -> seat_rules.Owner:
-    return seat_rules.Owner(
-        instance=ctx.identity.instance,
-        life=ctx.identity.life,
-        incarnation=ctx.incarnation,
-        peer=ctx.identity.peer,
-        epoch=epoch,
-    )
+        ctx.members.probe_order.append(name)
--- a/chiverun/runtime/seattransfer.py
+++ b/chiverun/runtime/seattransfer.py
@@ -8,7 +8,10 @@
 from chiverun.core.messages import MemberState
 from chiverun.core.messages import SeatRequest
 from chiverun.core.messages import SeatTransfer
+from chiverun.core.tables import Held
+from chiverun.core.tables import Mark
 from chiverun.core.tables import Member
+from chiverun.core.tables import Owner
 from chiverun.core.tables import Releasing
 from chiverun.core.tables import Transfer
 from chiverun.core.ticket import Zone
@@ -16,8 +19,15 @@
 from chiverun.runtime.events import WriteSeats
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from chiverun.runtime.context import ControlContext
 
+# Each piece of news is sent this many times, since messages can be lost.
+_NEWS_SENDS = 4
+_WRITE_RETRY_S = 0.5
+_WRITE_LIMIT_S = 30.0
+
 
 def request_share(ctx: "ControlContext", zone: Zone, now: float) -> None:
     """Ask the richest holder for a part of its seats."""
@@ -41,15 +51,24 @@
 
 
 def on_seat_request(ctx: "ControlContext", message: SeatRequest) -> None:
-    """Release seats to an instance with fewer."""
+    """Release seats to an instance with fewer.
+
+    The request may be late or repeated: seats that the sender was seen to
+    hold, or that are on the way to it, count as well.
+    """
     row = ctx.members.rows.get(message.instance)
     if row is None or not row.is_live or row.life != message.life:
         return
-    if ctx.seats.releasing or ctx.seats.suspended_at is not None:
+    seats = ctx.seats
+    if seats.releasing or seats.suspended_at is not None or ctx.is_leaving:
         return
-    count = (len(ctx.seats.held) - message.held) // 2
+    known = len(row.advert.seats) if row.advert else 0
+    under_way = sum(
+        1 for t in seats.transfers.values() if t.life == message.life
+    )
+    count = len(seats.held) - max(message.held, known) - under_way
     # Every other seat: neighbouring seats share one server's slots.
-    for seat in sorted(ctx.seats.held)[::2][: max(0, count)]:
+    for seat in sorted(seats.held)[::2][: max(0, count // 2)]:
         _release(ctx, seat, message.instance)
 
 
@@ -57,13 +76,39 @@
     ctx: "ControlContext", seat: SeatIndex, receiver: InstanceId | None
 ) -> None:
     held = ctx.seats.held.pop(seat)
-    ctx.seats.releasing[seat] = Releasing(epoch=held.epoch, receiver=receiver)
+    ctx.seats.releasing[seat] = Releasing(
+        epoch=held.epoch,
+        short_from=held.short_from,
+        long_from=held.long_from,
+        receiver=receiver,
+    )
+
+
+def release_all(ctx: "ControlContext") -> None:
+    """Release all seats to the other live instances, evenly."""
+    receivers = _receivers(ctx)
+    counts = {m.instance: len(m.advert.seats) for m in receivers}
+    for seat in sorted(ctx.seats.held):
+        receiver = min(counts, key=lambda i: counts[i], default=None)
+        if receiver is not None:
+            counts[receiver] += 1
+        _release(ctx, seat, receiver)
+
+
+def _receivers(ctx: "ControlContext") -> list[Member]:
+    return [
+        m
+        for m in ctx.members.live_in_zone(ctx.identity.zone)
+        if m.state is MemberState.ALIVE
+        and m.advert is not None
+        and not m.advert.leaving
+    ]
 
 
 def finish_releases(ctx: "ControlContext", now: float) -> None:
     """Hand over released seats whose work has ended."""
-    owners = {}
     given_up = {}
+    owners = {}
     for seat, releasing in list(ctx.seats.releasing.items()):
         if not releasing.is_published:
             continue
@@ -71,41 +116,40 @@
             continue
         del ctx.seats.releasing[seat]
         receiver = _receiver(ctx, releasing)
-        if receiver is None and not ctx.is_leaving:
-            ctx.seats.held[seat] = seat_rules.held_after_transfer(
-                releasing.epoch, now
-            )
-        elif receiver is None:
+        if receiver is not None:
+            owners[seat] = _hand_to(ctx, receiver, seat, releasing)
+        elif ctx.is_leaving:
             given_up[seat] = releasing.epoch
         else:
-            owners[seat] = _hand_to(ctx, receiver, seat, releasing.epoch)
-    if owners or given_up:
-        ctx.submit(WriteSeats(owners=owners, given_up=given_up))
+            ctx.seats.held[seat] = Held(
+                epoch=releasing.epoch,
+                short_from=releasing.short_from,
+                long_from=releasing.long_from,
+            )
+    queue_write(ctx, owners, given_up)
 
 
 def _receiver(ctx: "ControlContext", releasing: Releasing) -> Member | None:
-    if releasing.receiver is None:
-        return None
     row = ctx.members.rows.get(releasing.receiver)
-    if row is None or not row.is_live or row.advert is None:
-        return None
-    return row
+    if row is not None and row.is_live and row.advert is not None:
+        return row
+    others = _receivers(ctx) if ctx.is_leaving else []
+    return min(others, key=lambda m: len(m.advert.seats), default=None)
 
 
 def _hand_to(
-    ctx: "ControlContext", row: Member, seat: SeatIndex, epoch: int
-) -> seat_rules.Owner:
+    ctx: "ControlContext", row: Member, seat: SeatIndex, releasing: Releasing
+) -> Owner:
+    epoch = releasing.epoch + 1
     ctx.seats.transfers[seat] = Transfer(
-        epoch=epoch + 1, receiver=row.instance, life=row.life
-    )
-    ctx.seats.epochs[seat] = epoch + 1
-    return seat_rules.Owner(
-        instance=row.instance,
+        epoch=epoch,
+        short_from=releasing.short_from,
+        long_from=releasing.long_from,
+        receiver=row.instance,
         life=row.life,
-        incarnation=row.incarnation,
-        peer=row.peer,
-        epoch=epoch + 1,
     )
+    seat_rules.note_mark(ctx.seats, seat, Mark(epoch, row.life))
+    return member_owner(row, epoch)
 
 
 def resend_transfers(ctx: "ControlContext", now: float) -> None:
@@ -116,61 +160,141 @@
             row is None
             or not row.is_live
             or row.life != transfer.life
-            or _has_arrived(ctx, row, seat, transfer)
+            or _has_arrived(ctx, seat, transfer)
         ):
             del ctx.seats.transfers[seat]
         elif now - transfer.sent_at >= seat_rules.TRANSFER_RESEND_S:
             transfer.sent_at = now
-            ctx.send(
-                row.peer,
-                SeatTransfer(
-                    seat=seat,
-                    epoch=transfer.epoch,
-                    instance=transfer.receiver,
-                    life=transfer.life,
-                ),
-            )
+            ctx.send(row.peer, _transfer_message(ctx, seat, transfer, now))
+
+
+def _transfer_message(
+    ctx: "ControlContext", seat: SeatIndex, transfer: Transfer, now: float
+) -> SeatTransfer:
+    return SeatTransfer(
+        seat=seat,
+        epoch=transfer.epoch,
+        instance=transfer.receiver,
+        life=transfer.life,
+        short_ms=_left_ms(transfer.short_from, now),
+        long_ms=_left_ms(transfer.long_from, now),
+        sent_epoch_ms=int(ctx.clock.wall() * 1000),
+    )
+
+
+def _left_ms(opens_at: float, now: float) -> int:
+    return max(0, int((opens_at - now) * 1000) + 1)
 
 
 def _has_arrived(
-    ctx: "ControlContext", row: Member, seat: SeatIndex, transfer: Transfer
+    ctx: "ControlContext", seat: SeatIndex, transfer: Transfer
 ) -> bool:
+    row = ctx.members.rows[transfer.receiver]
+    known = ctx.seats.marks.get(seat)
+    if known is not None and known.epoch > transfer.epoch:
+        return True
     claims = row.advert.seats if row.advert else ()
     return any(c.seat == seat and c.epoch >= transfer.epoch for c in claims)
 
 
 def on_seat_transfer(ctx: "ControlContext", message: SeatTransfer) -> None:
     """Take a seat over; a repeated or late message changes nothing."""
-    if message.life != ctx.identity.life or ctx.is_leaving:
+    zone = ctx.state.of(Zone).get(ctx.identity.zone)
+    if message.life != ctx.identity.life or zone is None:
+        return
+    if not 0 <= message.seat < zone.seats:
+        return
+    age_s = ctx.clock.wall() - message.sent_epoch_ms / 1000.0
+    if abs(age_s) > seat_rules.TRANSFER_AGE_MAX_S:
+        return
+    if message.epoch <= ctx.seats.taken.get(message.seat, 0):
         return
-    if message.epoch <= ctx.seats.epochs.get(message.seat, 0):
+    known = ctx.seats.marks.get(message.seat)
+    if known is not None and known > Mark(message.epoch, message.life):
         return
     now = ctx.clock.monotonic()
-    ctx.seats.epochs[message.seat] = message.epoch
+    ctx.seats.taken[message.seat] = message.epoch
     ctx.seats.held[message.seat] = seat_rules.held_after_transfer(
-        message.epoch, now
+        message.epoch,
+        now,
+        now + message.short_ms / 1000.0,
+        now + message.long_ms / 1000.0,
     )
+    gain(ctx, message.seat, message.epoch)
+    # The giver writes the record too, but may die before it can.
+    owner = own_owner(ctx, message.epoch)
+    queue_write(ctx, {message.seat: owner}, {})
 
 
-def on_seats_written(ctx: "ControlContext", report: SeatsWritten) -> None:
-    """Repeat a write that failed."""
-    if not report.is_done:
-        ctx.submit(report.job)
+def gain(ctx: "ControlContext", seat: SeatIndex, epoch: int) -> None:
+    """Note a seat that this instance holds from now on."""
+    mark = Mark(epoch, ctx.identity.life)
+    seat_rules.note_mark(ctx.seats, seat, mark)
+    ctx.seats.news[seat] = _NEWS_SENDS
 
 
-def hand_over(ctx: "ControlContext") -> None:
-    """Release all seats to the other live instances."""
-    ctx.is_handing_over = True
-    receivers = [
-        m.instance
-        for m in ctx.members.live_in_zone(ctx.identity.zone)
-        if m.state is MemberState.ALIVE
-        and m.advert is not None
-        and not m.advert.leaving
-    ]
-    for index, seat in enumerate(sorted(ctx.seats.held)):
-        receiver = receivers[index % len(receivers)] if receivers else None
-        _release(ctx, seat, receiver)
-    for releasing in ctx.seats.releasing.values():
-        if releasing.receiver is None and receivers:
-            releasing.receiver = receivers[0]
+def member_owner(row: Member, epoch: int) -> Owner:
+    """Return a member as the owner of a seat."""
+    return Owner(
+        instance=row.instance,
+        life=row.life,
+        incarnation=row.incarnation,
+        peer=row.peer,
+        epoch=epoch,
+    )
+
+
+def own_owner(ctx: "ControlContext", epoch: int) -> Owner:
+    """Return this instance as the owner of a seat."""
+    return Owner(
+        instance=ctx.identity.instance,
+        life=ctx.identity.life,
+        incarnation=ctx.incarnation,
+        peer=ctx.identity.peer,
+        epoch=epoch,
+    )
+
+
+# Writes to the store's record.
+
+
+def queue_write(
+    ctx: "ControlContext",
+    owners: "Mapping[SeatIndex, Owner]",
+    given_up: "Mapping[SeatIndex, int]",
+) -> None:
+    """Keep changes until they are written; later epochs replace earlier."""
+    for seat, owner in owners.items():
+        kept = ctx.seats.unwritten.get(seat)
+        if kept is None or owner.epoch > kept.epoch:
+            ctx.seats.unwritten[seat] = owner
+    ctx.seats.ungiven.update(given_up)
+
+
+def flush_writes(ctx: "ControlContext", now: float) -> None:
+    """Submit one job with all kept changes, unless one is under way."""
+    seats = ctx.seats
+    if not (seats.unwritten or seats.ungiven) or now < seats.write_at:
+        return
+    pending = seats.write_pending_since
+    if pending is not None and now - pending < _WRITE_LIMIT_S:
+        return
+    seats.write_pending_since = now
+    ctx.submit(
+        WriteSeats(owners=dict(seats.unwritten), given_up=dict(seats.ungiven))
+    )
+
+
+def on_seats_written(ctx: "ControlContext", report: SeatsWritten) -> None:
+    """Forget what was written; the rest is written later."""
+    seats = ctx.seats
+    seats.write_pending_since = None
+    if not report.is_done:
+        seats.write_at = ctx.clock.monotonic() + _WRITE_RETRY_S
+        return
+    for seat, owner in report.job.owners.items():
+        if seats.unwritten.get(seat) == owner:
+            del seats.unwritten[seat]
+    for seat, epoch in report.job.given_up.items():
+        if seats.ungiven.get(seat) == epoch:
+            del seats.ungiven[seat]
--- a/chiverun/runtime/storeworker.py
+++ b/chiverun/runtime/storeworker.py
@@ -12,11 +12,11 @@
 from chiverun.core.errors import ChiverunError
 from chiverun.core.ids import ZoneName
 from chiverun.core.seats import Claim
-from chiverun.core.seats import Owner
 from chiverun.core.seats import SeatRecord
 from chiverun.core.seats import select_claims
 from chiverun.core.seats import with_owners
 from chiverun.core.seats import without_owner
+from chiverun.core.tables import Owner
 from chiverun.integrations.interfaces import StoreAnswerLost
 from chiverun.integrations.interfaces import StoreUnavailable
 from chiverun.runtime.events import ClaimSeats
@@ -63,7 +63,7 @@
         """Claim what the job's plan allows; return what took effect."""
         record, index = self.read()
         for _ in range(_SWAP_ATTEMPTS):
-            claims = select_claims(record, job.plan, job.me, job.replaced)
+            claims = select_claims(record, job.plan, job.me)
             if not claims:
                 return [], record
             owners = {
@@ -146,8 +146,6 @@
             self._records.write(job)
         except StoreUnavailable as exc:
             _LOG.warning("seat record not written", extra={"e": str(exc)})
-            # Keeps a job that fails at once from filling the mailbox.
-            threading.Event().wait(_PAUSE_MIN_S)
             return SeatsWritten(is_done=False, job=job)
         return SeatsWritten(is_done=True, job=job)
 
--- a/chiverun/runtime/ticketspread.py
+++ b/chiverun/runtime/ticketspread.py
@@ -6,6 +6,7 @@
 import logbook
 
 from chiverun.core import dissemination
+from chiverun.core import seats as seat_rules
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import Address
@@ -59,6 +60,8 @@
     """Collect a part of a state; adopt it when complete."""
     if chunk.number <= ctx.state.number:
         return
+    if not 0 <= chunk.index < chunk.total <= dissemination.CHUNKS_MAX:
+        return
     if any(
         (c.number, c.digest) != (chunk.number, chunk.digest)
         for c in ctx.chunks.values()
@@ -77,7 +80,7 @@
 
 def apply_entries(ctx: "ControlContext", entries: Iterable[Entry]) -> None:
     """Apply tickets that follow; others are skipped."""
-    before = ctx.state.number
+    before = ctx.state
     for entry in entries:
         if entry.number != ctx.state.number + 1:
             continue
@@ -93,17 +96,18 @@
 
 def adopt_state(ctx: "ControlContext", state: State) -> None:
     """Take over a whole state, only if it is newer."""
-    before = ctx.state.number
-    if state.number > before:
+    before = ctx.state
+    if state.number > before.number:
         ctx.state = state
         ctx.recent.clear()
         _after_advance(ctx, before)
 
 
-def _after_advance(ctx: "ControlContext", before: int) -> None:
-    if ctx.state.number == before:
+def _after_advance(ctx: "ControlContext", before: State) -> None:
+    if ctx.state.number == before.number:
         return
     now = ctx.clock.monotonic()
+    seat_rules.note_old_classes(ctx.seats, before, ctx.state, now)
     ctx.in_force_at = now
     publishing.publish(ctx, now)
     _LOG.info("ticket in force", extra={"number": ctx.state.number})
