Claim seats of a member that answered in the instant it was declared dead

Cause: an answer and the news of a death handled at one clock reading left acked_at equal to state_since, and the member was then never counted as silent; an indirect answer of a dead member had the same effect. A lone instance also claimed from an empty record before its zone could answer. Change: compare with <=; any answer turns a dead member into a suspect; a fresh instance that knows no member of its zone listens 3 s before it claims.

--- a/chiverun/core/membership.py
+++ b/chiverun/core/membership.py
@@ -246,10 +246,14 @@
                 if row.advert is None:
                     del table.rows[row.instance]
             continue
-        row.acked_at = now
-        if row.state is MemberState.DEAD:
-            row.state = MemberState.SUSPECT
-            row.state_since = now
+        _note_alive(row, now)
+
+
+def _note_alive(row: Member, now: float) -> None:
+    row.acked_at = now
+    if row.state is MemberState.DEAD:
+        row.state = MemberState.SUSPECT
+        row.state_since = now
 
 
 def note_ended(table: MemberTable, life: LifeId) -> None:
@@ -293,7 +297,7 @@
     probe.is_acked = True
     row = table.rows.get(probe.target)
     if row is not None:
-        row.acked_at = now
+        _note_alive(row, now)
 
 
 def expire(table: MemberTable, zone: ZoneName, now: float) -> None:
--- a/chiverun/core/seats.py
+++ b/chiverun/core/seats.py
@@ -173,7 +173,7 @@
         and row.state is MemberState.DEAD
         and now - row.state_since >= DEAD_BEFORE_CLAIM_S
         and now - row.measured_at >= SUSPECT_S
-        and row.acked_at < row.state_since
+        and row.acked_at <= row.state_since
         and row.checks >= CHECKS
         and now - row.checked_at >= DEAD_BEFORE_CLAIM_S / 2
     }
--- a/chiverun/runtime/seatsystem.py
+++ b/chiverun/runtime/seatsystem.py
@@ -30,8 +30,8 @@
 _JOB_LIMIT_S = 30.0
 # Claims above the share, of seats that only this instance may claim.
 _OWN_CLAIM_PERIOD_S = 5.0
-# Time to hear of the zone's members before the first claim.
-_START_LISTEN_S = 1.0
+# Time to hear of a member of the zone before the first claim of a lone one.
+_START_LISTEN_S = 3.0
 _CONFIRM_PING_S = 0.5
 # An instance that no member of its zone has answered for this long reads
 # the record, since others may take it for dead and claim its seats.
@@ -203,10 +203,10 @@
     pending = ctx.seats.claim_pending_since
     if pending is not None and now - pending < _JOB_LIMIT_S:
         return False
-    if now - ctx.started_at < _START_LISTEN_S:
-        return False
     sharers = _sharers(ctx)
-    return not sharers or any(m.synced_sequence >= 0 for m in sharers)
+    if not sharers:
+        return now - ctx.started_at >= _START_LISTEN_S
+    return any(m.synced_sequence >= 0 for m in sharers)
 
 
 def on_claimed(ctx: "ControlContext", report: SeatsClaimed) -> None:
