Give each error of the command line one coded line

Cause: fire printed usage pages with exit status 2, ran a command before it noticed surplus arguments, and read "0007" or "1e5" as numbers; bad numbers, deep nesting and damaged answers ended in tracebacks; a ticket file without end was read until the memory was used up; instances were asked one after another, 2 s for each that did not answer.

Change: commands are parsed first and run afterwards, arguments are text, errors are one line with the hundreds digit as exit status, files are read up to 16 MB, instances are asked at once.

Conclusion: bad input gives one line and changes nothing in the store.

--- a/chiverun/cli.py
+++ b/chiverun/cli.py
@@ -1,13 +1,20 @@
 """The command line of operators and of instances."""
 
-import pathlib
+import contextlib
+import functools
+import io
+import os
 import sys
 import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import fire
 import msgspec
 import urllib3
+from fire.core import FireExit
+from fire.decorators import SetParseFn
 from urllib3.exceptions import HTTPError
 
 from chiverun.core.errors import ChiverunError
@@ -28,12 +35,47 @@
 from chiverun.runtime.status import Status
 
 _STATUS_TIMEOUT_S = 2.0
+_STATUS_THREADS = 16
 _LOG_LENGTH = 20
+_LOG_LENGTH_MAX = 1000
+_FILE_BYTES_MAX = 16 * 1024 * 1024
+_SUBMISSION_LENGTH_MAX = 100
+_COMMANDS = (
+    "serve, status, version, settings check, ticket check, ticket submit, "
+    "ticket show, ticket log"
+)
+
+# Arguments are taken as text: fire would read 0007 or 1e5 as numbers.
+_text_arguments = SetParseFn(str)
+
+
+class _Pending:
+    """The command that the command line names, run after it was parsed.
+
+    fire runs a command before it notices arguments that are left over.
+    """
+
+    def __init__(self) -> None:
+        self.call: Callable[[], str | None] | None = None
+
+
+def _command(method: Callable[..., str | None]) -> Callable[..., None]:
+    """Make a method note its call instead of running it."""
+
+    @functools.wraps(method)
+    def note(self, *args, **kwargs) -> None:
+        self._pending.call = lambda: method(self, *args, **kwargs)
+
+    return _text_arguments(note)
 
 
 class TicketCommands:
     """Check, submit and read change tickets."""
 
+    def __init__(self, pending: _Pending) -> None:
+        self._pending = pending
+
+    @_command
     def check(self, file: str, settings: str | None = None) -> str:
         """Check a ticket file; with settings, against the state in force."""
         ticket = _read_ticket_file(file)
@@ -43,6 +85,7 @@
         check_ticket(state, ticket)
         return f"ticket {ticket.number}: valid after ticket {state.number}"
 
+    @_command
     def submit(
         self, file: str, settings: str, submission: str | None = None
     ) -> str:
@@ -57,13 +100,15 @@
                 f"{', '.join(cfg.instances)}",
             )
         entry = _log(settings).submit(
-            ticket, str(submission or uuid.uuid4().hex), reports
+            ticket, _submission_id(submission), reports
         )
         return f"ticket {entry.number}: accepted, digest {entry.digest}"
 
-    def show(self, number: int, settings: str) -> str:
+    @_command
+    def show(self, number: str, settings: str) -> str:
         """Show an accepted ticket as JSON."""
-        entry = _from_store(lambda: _log(settings).entry(int(number)))
+        wanted = _count("number", number, 1, 2**63)
+        entry = _from_store(lambda: _log(settings).entry(wanted))
         if entry is None:
             raise ChiverunError(
                 ResultCode.TICKET_NOT_FOUND,
@@ -71,14 +116,16 @@
             )
         return _json(entry)
 
-    def log(self, settings: str, count: int = _LOG_LENGTH) -> str:
+    @_command
+    def log(self, settings: str, count: str = str(_LOG_LENGTH)) -> str:
         """List the newest accepted tickets, newest first."""
+        length = _count("count", count, 1, _LOG_LENGTH_MAX)
         log = _log(settings)
         head = _from_store(lambda: log.head().entry)
         if head is None:
             return "no ticket has been accepted"
         lines = []
-        for number in range(head.number, max(0, head.number - count), -1):
+        for number in range(head.number, max(0, head.number - length), -1):
             entry = _from_store(lambda n=number: log.entry(n))
             if entry is None:
                 break
@@ -89,6 +136,10 @@
 class SettingsCommands:
     """Check settings files."""
 
+    def __init__(self, pending: _Pending) -> None:
+        self._pending = pending
+
+    @_command
     def check(self, settings: str) -> str:
         """Check a settings file of an instance or an operator."""
         if is_operator_file(settings):
@@ -101,10 +152,12 @@
 class Commands:
     """chiverun: global traffic steering driven by change tickets."""
 
-    def __init__(self) -> None:
-        self.ticket = TicketCommands()
-        self.settings = SettingsCommands()
+    def __init__(self, pending: _Pending) -> None:
+        self._pending = pending
+        self.ticket = TicketCommands(pending)
+        self.settings = SettingsCommands(pending)
 
+    @_command
     def serve(self, settings: str) -> None:
         """Run one instance until SIGTERM."""
         # Operators' commands start faster without the instance's libraries.
@@ -115,14 +168,25 @@
         set_up_logs(level=cfg.log_level, instance=cfg.name)
         Instance(cfg=cfg).run()
 
-    def status(self, settings: str, json: bool = False) -> str:
+    @_command
+    def status(self, settings: str, json: str = "False") -> str:
         """Show what each instance has in force, its seats and headroom."""
+        if json not in ("True", "False"):
+            raise ChiverunError(
+                ResultCode.USAGE, f"json is {json!r}; valid: no value"
+            )
         cfg = read_operator_settings(settings)
-        statuses = {a: _status(a) for a in cfg.instances}
-        if json:
+        statuses = _statuses(cfg)
+        if not any(statuses.values()):
+            raise ChiverunError(
+                ResultCode.NO_INSTANCE_REACHABLE,
+                f"no instance answers; asked: {', '.join(cfg.instances)}",
+            )
+        if json == "True":
             return _json({a: s for a, s in statuses.items()})
         return _status_table(statuses)
 
+    @_command
     def version(self) -> str:
         """Show the version."""
         from chiverun import __version__
@@ -132,14 +196,43 @@
 
 def _read_ticket_file(file: str) -> Ticket:
     try:
-        data = pathlib.Path(str(file)).read_bytes()
-    except OSError as exc:
+        with open(file, "rb") as stream:
+            data = stream.read(_FILE_BYTES_MAX + 1)
+    except (OSError, ValueError) as exc:
         raise ChiverunError(
             ResultCode.FILE_NOT_READABLE, f"ticket file {file}: {exc}"
         ) from exc
+    if len(data) > _FILE_BYTES_MAX:
+        raise ChiverunError(
+            ResultCode.TICKET_TOO_LARGE,
+            f"ticket file {file} is too large; valid: at most "
+            f"{_FILE_BYTES_MAX} bytes",
+        )
     return read_ticket(data)
 
 
+def _count(name: str, text: str, low: int, high: int) -> int:
+    is_number = text.isascii() and text.isdigit() and len(text) < 20
+    if not is_number or not low <= int(text) <= high:
+        raise ChiverunError(
+            ResultCode.USAGE,
+            f"{name} is {text!r}; valid: a number from {low} to {high}",
+        )
+    return int(text)
+
+
+def _submission_id(text: str | None) -> str:
+    if text is None:
+        return uuid.uuid4().hex
+    if not text.isprintable() or not 1 <= len(text) <= _SUBMISSION_LENGTH_MAX:
+        raise ChiverunError(
+            ResultCode.USAGE,
+            f"submission is {text!r}; valid: 1 to {_SUBMISSION_LENGTH_MAX} "
+            "printable characters",
+        )
+    return text
+
+
 def _log(settings: str) -> TicketLog:
     cfg = read_operator_settings(settings)
     return TicketLog(
@@ -166,15 +259,22 @@
         try:
             resp = pool.urlopen("GET", "/v1/status", retries=False)
             return msgspec.json.decode(resp.data, type=Status)
-        except (HTTPError, msgspec.DecodeError):
+        except (HTTPError, msgspec.DecodeError, ValueError):
             return None
 
 
+def _statuses(cfg: OperatorSettings) -> dict[str, Status | None]:
+    """Ask all instances at once: one that is cut off costs 2 s."""
+    with ThreadPoolExecutor(_STATUS_THREADS) as pool:
+        return dict(
+            zip(cfg.instances, pool.map(_status, cfg.instances), strict=True)
+        )
+
+
 def _in_force(cfg: OperatorSettings) -> list[InForce]:
-    statuses = [_status(address) for address in cfg.instances]
     return [
         InForce(instance=s.instance, number=s.number, digest=s.digest)
-        for s in statuses
+        for s in _statuses(cfg).values()
         if s is not None
     ]
 
@@ -204,6 +304,8 @@
         parts.append(f"STALE since {status.in_force_s:.0f}s")
     if not status.store_reachable:
         parts.append("STORE UNREACHABLE")
+    if status.store_fault:
+        parts.append(f"STORE DATA: {status.store_fault}")
     if status.suspended:
         parts.append("SEATS SUSPENDED")
     if status.leaving:
@@ -227,12 +329,59 @@
     ).decode()
 
 
+def _parse() -> Callable[[], str | None]:
+    """Return the command that the command line names.
+
+    Raises
+    ------
+    ChiverunError
+        USAGE; fire's own messages take many lines.
+    SystemExit
+        After help was shown.
+    """
+    pending = _Pending()
+    shown = io.StringIO()
+    try:
+        with (
+            contextlib.redirect_stdout(shown),
+            contextlib.redirect_stderr(shown),
+        ):
+            fire.Fire(lambda: Commands(pending), name="chiverun")
+    except FireExit as exc:
+        if not exc.code:
+            print(shown.getvalue(), end="")
+            raise
+        reason = exc.trace.elements[-1].ErrorAsStr()
+        raise ChiverunError(ResultCode.USAGE, reason) from exc
+    if pending.call is None:
+        raise ChiverunError(
+            ResultCode.USAGE, f"no command is named; valid: {_COMMANDS}"
+        )
+    return pending.call
+
+
+def _run() -> None:
+    try:
+        output = _parse()()
+    except ChiverunError:
+        raise
+    except Exception as exc:
+        raise ChiverunError(
+            ResultCode.INTERNAL, f"{type(exc).__name__}: {exc}"
+        ) from exc
+    if output is not None:
+        print(output, flush=True)
+
+
 def main() -> None:
     """Run the command line; exits with the group of the result code."""
     try:
-        fire.Fire(Commands, name="chiverun")
+        _run()
     except ChiverunError as exc:
-        print(f"error: {exc}", file=sys.stderr)
+        print(f"error: {' '.join(str(exc).split())}", file=sys.stderr)
         sys.exit(int(exc.code) // 100)
+    except BrokenPipeError:
+        # The reader of the output has ended, such as `head`.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     except KeyboardInterrupt:
         sys.exit(130)
