--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -14,6 +14,11 @@
 
 _MESSAGE_BYTES_MAX = 2 * 1024 * 1024
 _HIGH_WATER_MARK = 256
+_RECONNECT_MS_MAX = 500
+# A connection begun or used during a partition is given up after this time.
+# With zmq's defaults (30 s for a handshake) a zone that rejoined while the
+# store was down took 13 to 20 s to learn a ticket.
+_DEAD_LINK_MS = 1500
 _CONNECTIONS_MAX = 256
 _IDLE_S = 60.0
 _POLL_MS = 500
@@ -132,7 +137,10 @@
             dealer.setsockopt(zmq.LINGER, 200)
             dealer.setsockopt(zmq.SNDHWM, _HIGH_WATER_MARK)
             dealer.setsockopt(zmq.RECONNECT_IVL, 100)
-            dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+            dealer.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MS_MAX)
+            dealer.setsockopt(zmq.CONNECT_TIMEOUT, _DEAD_LINK_MS)
+            dealer.setsockopt(zmq.HANDSHAKE_IVL, _DEAD_LINK_MS)
+            dealer.setsockopt(zmq.TCP_MAXRT, _DEAD_LINK_MS)
             dealer.connect(f"tcp://{self._addresses.translate(address)}")
         else:
             dealer = known[0]
