--- a/chiverun/core/ticket.py
+++ b/chiverun/core/ticket.py
@@ -225,7 +225,7 @@
 def _decoded(decode: Callable[[], T]) -> T:
     try:
         return decode()
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
         reason = str(exc).replace("\n", " ")
         raise ChiverunError(
             ResultCode.TICKET_MALFORMED, f"ticket: {reason}"
--- a/chiverun/core/ticketcheck.py
+++ b/chiverun/core/ticketcheck.py
@@ -2,9 +2,11 @@
 
 import ipaddress
 import math
+import re
 from collections.abc import Callable
 from collections.abc import Iterator
 
+from chiverun.core.blocks import SITES_MAX
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import ResultCode
 from chiverun.core.state import apply_ticket
@@ -23,6 +25,7 @@
 from chiverun.core.ticket import Ticket
 from chiverun.core.ticket import Zone
 
+_SERVICE_NAME = re.compile(r"[A-Za-z0-9._-]+")
 # A store value holds up to 1 MB; the rest is for the entry's other fields.
 TICKET_BYTES_MAX = 900_000
 SEATS_MAX = 4096
@@ -67,6 +70,7 @@
     yield from _duplicate_links(result)
     yield from _duplicate_addresses(result)
     yield from _duplicate_blocks(result)
+    yield from _site_count(result)
     yield from _competing_shifts(result)
 
 
@@ -130,6 +134,8 @@
 
 
 def _service(state: State, record: Service) -> Iterator[str]:
+    if not _SERVICE_NAME.fullmatch(record.name):
+        yield "name; valid: letters, digits, '.', '_' and '-', for paths"
     if not record.classes:
         yield "classes is empty; valid: at least one class"
     names = [c.name for c in record.classes]
@@ -174,11 +180,6 @@
 
 def _site(state: State, record: Site) -> Iterator[str]:
     yield from _reference(state, "zone", Zone, record.zone)
-    for block in record.blocks:
-        try:
-            ipaddress.IPv4Network(block)
-        except ValueError as exc:
-            yield f"block {block!r}: {exc}; valid: such as 10.1.0.0/16"
 
 
 def _shift(state: State, record: Shift) -> Iterator[str]:
@@ -238,14 +239,21 @@
 
 
 def _duplicate_blocks(result: State) -> Iterator[str]:
-    seen: dict[str, str] = {}
+    seen: dict[tuple[int, int], str] = {}
     for site in result.of(Site).values():
-        for block in site.blocks:
-            other = seen.setdefault(block, site.name)
+        for first, length in site.blocks.pairs():
+            other = seen.setdefault((first, length), site.name)
             if other != site.name:
+                block = f"{ipaddress.IPv4Address(first)}/{length}"
                 yield f"site {site.name}: block {block} is in site {other}"
 
 
+def _site_count(result: State) -> Iterator[str]:
+    count = len(result.of(Site))
+    if count > SITES_MAX:
+        yield f"{count} sites; valid: at most {SITES_MAX}"
+
+
 def _competing_shifts(result: State) -> Iterator[str]:
     seen: dict[tuple[str, str], str] = {}
     for shift in result.of(Shift).values():
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -34,6 +34,7 @@
 from chiverun.runtime.events import EntriesRead
 from chiverun.runtime.events import Event
 from chiverun.runtime.events import HandOver
+from chiverun.runtime.events import HeadForked
 from chiverun.runtime.events import Leave
 from chiverun.runtime.events import SeatsClaimed
 from chiverun.runtime.events import SeatsRead
@@ -113,6 +114,8 @@
                 seattransfer.on_seats_written(self, event)
             case EntriesRead(entries=entries):
                 ticketspread.apply_entries(self, entries)
+            case HeadForked(reason=reason):
+                ticketspread.note_fork(self, reason)
             case StateRead(state=state):
                 ticketspread.adopt_state(self, state)
             case ServersLeaving(servers=servers):
--- a/chiverun/runtime/events.py
+++ b/chiverun/runtime/events.py
@@ -84,6 +84,13 @@
     state: State
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HeadForked:
+    """The store's head is not of the history of the state in force."""
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServersLeaving:
     """Backend servers that are leaving, by the instance list or health."""
@@ -101,5 +108,12 @@
     """The instance has no work left: it gives its seats away."""
 
 
-StoreReport = SeatsClaimed | SeatsRead | SeatsWritten | EntriesRead | StateRead
+StoreReport = (
+    SeatsClaimed
+    | SeatsRead
+    | SeatsWritten
+    | EntriesRead
+    | StateRead
+    | HeadForked
+)
 Event = StoreReport | ServersLeaving | Leave | HandOver
--- a/chiverun/runtime/gossip.py
+++ b/chiverun/runtime/gossip.py
@@ -169,10 +169,7 @@
 
 
 def _check_fork(ctx: "ControlContext", content: Gossip) -> None:
-    if (
-        content.number == ctx.state.number
-        and content.digest != ctx.state.digest
-    ):
+    if ctx.state.follows(content.number, content.digest) is False:
         ticketspread.note_fork(
             ctx,
             f"instance {content.sender.instance} has another ticket "
--- a/chiverun/runtime/ticketspread.py
+++ b/chiverun/runtime/ticketspread.py
@@ -48,9 +48,10 @@
     """Send the tickets or the state that a peer asks for."""
     if number >= ctx.state.number:
         return
-    entries = dissemination.entries_after(list(ctx.recent), number)
-    if entries is not None:
-        ctx.send(sender, Tickets(entries=tuple(entries)))
+    batches = dissemination.entries_after(list(ctx.recent), number)
+    if batches is not None:
+        for batch in batches:
+            ctx.send(sender, Tickets(entries=batch))
         return
     for chunk in dissemination.state_chunks(ctx.state):
         ctx.send(sender, chunk)
@@ -60,17 +61,10 @@
     """Collect a part of a state; adopt it when complete."""
     if chunk.number <= ctx.state.number:
         return
-    if not 0 <= chunk.index < chunk.total <= dissemination.CHUNKS_MAX:
-        return
-    if any(
-        (c.number, c.digest) != (chunk.number, chunk.digest)
-        for c in ctx.chunks.values()
-    ):
-        ctx.chunks = {}
-    ctx.chunks[chunk.index] = chunk
+    ctx.chunks = dissemination.merge_chunk(ctx.chunks, chunk)
     if len(ctx.chunks) < chunk.total:
         return
-    parts = [ctx.chunks[i].data for i in range(chunk.total)]
+    parts = [ctx.chunks[i].data for i in sorted(ctx.chunks)]
     ctx.chunks = {}
     try:
         adopt_state(ctx, decode_state(b"".join(parts)))
@@ -95,18 +89,31 @@
 
 
 def adopt_state(ctx: "ControlContext", state: State) -> None:
-    """Take over a whole state, only if it is newer."""
+    """Take over a whole state, only if it is newer and continues."""
     before = ctx.state
-    if state.number > before.number:
-        ctx.state = state
-        ctx.recent.clear()
-        _after_advance(ctx, before)
+    if state.number <= before.number:
+        return
+    continues = state.follows(before.number, before.digest)
+    if continues is False:
+        note_fork(
+            ctx,
+            f"a state of ticket {state.number} has another ticket "
+            f"{before.number}",
+        )
+        return
+    if continues is None:
+        _LOG.warning("history not comparable", extra={"from": before.number})
+    ctx.state = state
+    ctx.recent.clear()
+    _after_advance(ctx, before)
 
 
 def _after_advance(ctx: "ControlContext", before: State) -> None:
     if ctx.state.number == before.number:
         return
     now = ctx.clock.monotonic()
+    # Raised again by the next exchange if the other history is still met.
+    ctx.fork = None
     seat_rules.note_old_classes(ctx.seats, before, ctx.state, now)
     ctx.in_force_at = now
     publishing.publish(ctx, now)
