--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -6,21 +6,23 @@
 which for an unknown outcome is the request's deadline.
 """
 
-import collections
 import dataclasses
+import heapq
 import random
 import threading
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from chiverun.core import exchange
-from chiverun.core.choice import Candidate
 from chiverun.core.choice import choose
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import classify
 from chiverun.core.exchange import ExchangeEnd
+from chiverun.core.health import aged_slowness
 from chiverun.core.health import mark_draining
+from chiverun.core.health import observe_at_least
 from chiverun.core.health import record
 from chiverun.core.health import ServerHealth
 from chiverun.core.health import Standing
@@ -31,15 +33,27 @@
 from chiverun.core.ids import ServiceName
 from chiverun.core.ids import ZoneName
 from chiverun.core.limits import WindowLimiter
+from chiverun.core.overdue import OVERDUE_FACTOR
+from chiverun.core.overdue import OVERDUE_MIN_S
+from chiverun.core.overdue import OverdueTable
 from chiverun.core.portions import held_portion
-from chiverun.core.portions import slot_seat
+from chiverun.core.portions import region_zones
 from chiverun.core.shift import active_shift
+from chiverun.core.slots import RegionUnits
+from chiverun.core.slots import ServerSlots
+from chiverun.core.slots import SlotTable
 from chiverun.core.ticket import Length
 from chiverun.core.ticket import Region
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Server
 from chiverun.core.ticket import ServerState
+from chiverun.core.ticket import Service
+from chiverun.core.ticket import Shift
 from chiverun.core.ticket import Zone
+from chiverun.core.times import ClassTimes
+from chiverun.core.waiting import QueueKey
+from chiverun.core.waiting import Waiter
+from chiverun.core.waiting import WaitQueues
 
 if TYPE_CHECKING:
     from chiverun.core.clock import Clock
@@ -55,7 +69,10 @@
 SHIFT_WINDOW_S = 1.25
 QUEUE_PER_SLOT_MAX = 8
 QUEUE_MIN = 16
-SERVICE_TIME_WEIGHT = 0.1
+# A queued request is given up when less time is left than this quantile of
+# its class's running times: it would use a slot and miss its deadline.
+START_QUANTILE = 0.9
+HEDGE_QUANTILE = 0.95
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,41 +87,33 @@
     source_region: RegionName
     deadline: float
 
+    @property
+    def key(self) -> QueueKey:
+        """Service and class name."""
+        return self.service, self.request_class.name
+
+    @property
+    def is_long(self) -> bool:
+        """Whether its class is declared long."""
+        return self.request_class.length is Length.LONG
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Grant:
-    """Permission to send one request to one server."""
+    """Permission to send one request to one server.
+
+    `unit` is the seat whose unit of the region's cap it charges, if any.
+    """
 
     number: int
     server: Server
     slot: int
     seat: SeatIndex
+    unit: SeatIndex | None
     work: Work
     granted_at: float
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Slot:
-    """A slot of a held seat; None as `grant` means free."""
-
-    server: Server
-    index: int
-    seat: SeatIndex
-    is_long: bool
-    opens_at: float
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Waiter:
-    work: Work
-    excluded: frozenset[ServerName]
-    event: threading.Event
-    grant: Grant | None = None
-
-
-_SlotKey = tuple[ServerName, int]
-
-
 class Admission:
     """Slots, caps and queues of this instance; thread-safe.
 
@@ -125,29 +134,33 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._snapshot: Snapshot | None = None
-        self._slots: dict[ServiceName, list[_Slot]] = {}
         self._layout: tuple | None = None
-        self._busy: dict[_SlotKey, Grant] = {}
-        self._occupied_until: dict[_SlotKey, tuple[float, SeatIndex]] = {}
+        self._slots = SlotTable()
+        self._units = RegionUnits()
+        self._overdue = OverdueTable()
+        self._queues: WaitQueues[Work, Grant] = WaitQueues()
+        self._busy: dict[int, Grant] = {}
+        # Heap of grants whose slots stay occupied until a time, by number.
+        self._occupied: list[tuple[float, int, Grant]] = []
         self._health: dict[ServerName, ServerHealth] = {}
-        self._queues: dict[
-            tuple[ServiceName, Length], collections.deque[_Waiter]
-        ] = {}
-        self._service_time_s: dict[tuple[ServiceName, Length], float] = {}
+        self._times: dict[QueueKey, ClassTimes] = {}
+        self._open_slots: dict[tuple[ServiceName, bool], float] = {}
         self._shift_limits: dict[str, WindowLimiter] = {}
-        self._region_cap: int | None = None
         self._numbers = 0
 
     def update(self, snapshot: "Snapshot") -> None:
         """Take over a newly published snapshot."""
+        now = self._clock.monotonic()
         with self._lock:
-            layout = (snapshot.state.number, snapshot.seats)
+            layout = (snapshot.state.digest, snapshot.state.number)
+            layout = (*layout, snapshot.seats)
             self._snapshot = snapshot
+            self._open_slots = {}
             if layout != self._layout:
                 self._layout = layout
-                self._rebuild(snapshot)
-            self._expire_occupied(self._clock.monotonic())
-            self._serve_queues()
+                self._rebuild(snapshot, now)
+            self._advance(now)
+            self._serve(now)
 
     def try_acquire(
         self, work: Work, excluded: frozenset[ServerName] = frozenset()
@@ -159,11 +172,12 @@
         ChiverunError
             With a 3xx code; the request was not run.
         """
+        now = self._clock.monotonic()
         with self._lock:
-            self._check(work)
-            if self._queue(work):
+            self._check(work, now)
+            if self._queues.length(work.key):
                 raise _refusal(ResultCode.NO_CAPACITY, work, "queue waits")
-            grant = self._grant(work, excluded)
+            grant = self._grant(work, excluded, now)
             if grant is None:
                 raise _refusal(ResultCode.NO_CAPACITY, work, "no free slot")
             return grant
@@ -178,27 +192,53 @@
         ChiverunError
             With a 3xx code; the request was not run.
         """
+        event = threading.Event()
+        waiter = self.enqueue(work, event.set, excluded)
+        event.wait(max(0.0, waiter.latest_start - self._clock.monotonic()))
+        self.withdraw(waiter)
+        if waiter.grant is not None:
+            return waiter.grant
+        if waiter.error is not None:
+            raise waiter.error
+        raise _late(work)
+
+    def enqueue(
+        self,
+        work: Work,
+        notify: Callable[[], object],
+        excluded: frozenset[ServerName] = frozenset(),
+    ) -> Waiter[Work, Grant]:
+        """Ask for a slot; `notify` is called once when it is granted.
+
+        It is called under the lock of this object, also before `enqueue`
+        returns, and must not block.
+
+        Raises
+        ------
+        ChiverunError
+            With a 3xx code, if the request cannot be run in time.
+        """
+        now = self._clock.monotonic()
         with self._lock:
-            self._check(work)
-            queue = self._queue(work)
-            if not queue:
-                grant = self._grant(work, excluded)
+            self._check(work, now)
+            waiter = self._waiter(work, notify, excluded, now)
+            if not self._queues.length(work.key):
+                grant = self._grant(work, excluded, now)
                 if grant is not None:
-                    return grant
-            self._check_wait(work, len(queue))
-            waiter = _Waiter(
-                work=work, excluded=excluded, event=threading.Event()
-            )
-            queue.append(waiter)
-        left = work.deadline - self._clock.monotonic()
-        waiter.event.wait(max(0.0, left - self._expected_s(work)))
+                    waiter.finish(grant=grant)
+                    return waiter
+            self._check_wait(work, now)
+            self._queues.add(waiter)
+            self._serve(now)
+        return waiter
+
+    def withdraw(self, waiter: Waiter[Work, Grant]) -> None:
+        """Take a waiter out of its queue, if it is still there.
+
+        A grant that came before stays with the waiter.
+        """
         with self._lock:
-            if waiter.grant is not None:
-                return waiter.grant
-            queue.remove(waiter)
-        raise _refusal(
-            ResultCode.DEADLINE_UNREACHABLE, work, "no slot in time"
-        )
+            self._queues.remove(waiter)
 
     def confirm(self, grant: Grant) -> bool:
         """Check at the act of sending that the grant may still be used."""
@@ -207,35 +247,61 @@
             return (
                 self._is_current(now)
                 and now < grant.work.deadline
-                and grant.server.name not in self._snapshot.leaving_servers
-                and self._is_active(grant.server)
+                and any(s.index == grant.seat for s in self._snapshot.seats)
+                and grant.server.name in self._health
+                and self._may_use(grant.server.name, now)
             )
 
     def cancel(self, grant: Grant) -> None:
         """Give back a grant that was not used."""
+        now = self._clock.monotonic()
         with self._lock:
-            self._free(grant)
-
-    def release(self, grant: Grant, end: ExchangeEnd) -> None:
+            if self._busy.pop(grant.number, None) is not None:
+                self._end(grant)
+                self._serve(now)
+
+    def release(
+        self,
+        grant: Grant,
+        end: ExchangeEnd,
+        *,
+        cancelled: bool = False,
+        ended: bool = False,
+    ) -> None:
         """Give back a slot and record how the exchange ended.
 
         After an unknown outcome the server may still run the request, so
         the slot stays occupied until its deadline has passed there.
+
+        Parameters
+        ----------
+        grant : Grant
+        end : ExchangeEnd
+        cancelled : bool
+            This instance cancelled the exchange, so its end says nothing
+            about the server but that it took at least this long.
+        ended : bool
+            The server is known to run the request no longer.
         """
         now = self._clock.monotonic()
         with self._lock:
-            health = self._health.get(grant.server.name)
-            if health is not None:
-                record(health, end, now - grant.granted_at, now)
-            classified = classify(end)
-            if classified.outcome is Outcome.ANSWERED:
-                self._record_service_time(grant, now)
-            if _may_still_run(end):
-                self._occupied_until[grant.server.name, grant.slot] = (
-                    grant.work.deadline + CLOCK_MARGIN_S,
-                    grant.seat,
-                )
-            self._free(grant)
+            if self._busy.pop(grant.number, None) is None:
+                return
+            if _may_still_run(end) and not ended:
+                until = max(now, grant.work.deadline + CLOCK_MARGIN_S)
+                heapq.heappush(self._occupied, (until, grant.number, grant))
+            else:
+                self._end(grant)
+            self._record(grant, end, cancelled, now)
+            self._advance(now)
+            self._serve(now)
+
+    def hedge_delay_s(self, work: Work) -> float | None:
+        """Return when a second attempt is due; None if nothing is learnt."""
+        with self._lock:
+            times = self._times.get(work.key)
+            delay_s = times.quantile_s(HEDGE_QUANTILE) if times else 0.0
+        return delay_s or None
 
     def mark_draining(self, server: ServerName) -> None:
         """Note a server's own statement that it is leaving."""
@@ -261,15 +327,17 @@
         with self._lock:
             if not self._is_current(now):
                 return {}
-            return {
-                service: sum(
-                    1
-                    for slot in slots
-                    if self._is_free(slot, now)
-                    and self._may_use(slot.server, now)
-                )
-                for service, slots in self._slots.items()
-            }
+            self._advance(now)
+            rooms = {}
+            for service in self._snapshot.state.of(Service):
+                names = self._slots.servers(service)
+                if names:
+                    rooms[service] = sum(
+                        self._slots.server(name).free
+                        for name in names
+                        if self._may_use(name, now)
+                    )
+            return rooms
 
     def in_flight(self) -> int:
         """Return the number of grants in use."""
@@ -277,26 +345,27 @@
             return len(self._busy)
 
     def seat_in_use(self, seat: SeatIndex) -> bool:
-        """Tell whether a server may still run work on a seat's slots."""
+        """Tell whether a server may still run work on a seat's slots.
+
+        A unit of the region's cap that belongs to the seat counts as well.
+        """
         now = self._clock.monotonic()
         with self._lock:
-            self._expire_occupied(now)
-            return any(g.seat == seat for g in self._busy.values()) or any(
-                s == seat for _, s in self._occupied_until.values()
-            )
+            self._advance(now)
+            return self._slots.seat_in_use(seat) or self._units.in_use(seat)
 
     # Callers of the methods below hold the lock.
 
-    def _check(self, work: Work) -> None:
-        now = self._clock.monotonic()
+    def _check(self, work: Work, now: float) -> None:
         if not self._is_current(now):
             raise _refusal(ResultCode.NO_SEAT, work, "seats not confirmed")
         if not self._snapshot.seats:
             raise _refusal(ResultCode.NO_SEAT, work, "no seat held")
-        if now + self._expected_s(work) >= work.deadline:
+        if now + self._expected_s(work.key, now) >= work.deadline:
             raise _refusal(
                 ResultCode.DEADLINE_UNREACHABLE, work, "too little time left"
             )
+        self._advance(now)
 
     def _is_current(self, now: float) -> bool:
         snapshot = self._snapshot
@@ -306,116 +375,155 @@
             and now - snapshot.published_at <= PAUSE_LIMIT_S
         )
 
-    def _is_active(self, server: Server) -> bool:
-        current = self._snapshot.state.of(Server).get(server.name)
-        return current is not None and current.state is ServerState.ACTIVE
-
-    def _check_wait(self, work: Work, queued: int) -> None:
-        slots = self._open_slots(work)
+    def _check_wait(self, work: Work, now: float) -> None:
+        slots = self._usable_slots(work, now)
+        if slots <= 0:
+            raise _refusal(ResultCode.NO_CAPACITY, work, "no server in use")
+        queued = self._queues.length(work.key)
         if queued >= max(QUEUE_MIN, QUEUE_PER_SLOT_MAX * slots):
             raise _refusal(ResultCode.QUEUE_FULL, work, f"{queued} wait")
-        expected_s = self._expected_s(work)
-        wait_s = expected_s * (queued + 1) / max(1, slots)
-        if self._clock.monotonic() + wait_s + expected_s > work.deadline:
+        wait_s = self._expected_wait_s(work, queued, slots, now)
+        if now + wait_s > self._latest_start(work, now):
             raise _refusal(
                 ResultCode.DEADLINE_UNREACHABLE,
                 work,
-                f"{queued} wait for {slots} slots",
+                f"{queued} wait for {slots:.0f} slots",
             )
 
-    def _expected_s(self, work: Work) -> float:
-        key = (work.service, work.request_class.length)
-        return self._service_time_s.get(key, 0.0)
+    def _expected_wait_s(
+        self, work: Work, queued: int, slots: float, now: float
+    ) -> float:
+        """Return the time that the work ahead takes on the open slots.
 
-    def _record_service_time(self, grant: Grant, now: float) -> None:
-        work = grant.work
-        key = (work.service, work.request_class.length)
-        sample = now - grant.granted_at
-        old = self._service_time_s.get(key, sample)
-        self._service_time_s[key] = old + SERVICE_TIME_WEIGHT * (sample - old)
-
-    def _queue(self, work: Work) -> collections.deque[_Waiter]:
-        key = (work.service, work.request_class.length)
-        return self._queues.setdefault(key, collections.deque())
-
-    def _open_slots(self, work: Work) -> int:
-        now = self._clock.monotonic()
-        return sum(
-            1
-            for slot in self._slots.get(work.service, ())
-            if self._fits(slot, work) and now >= slot.opens_at
-        )
-
-    def _fits(self, slot: _Slot, work: Work) -> bool:
-        return slot.is_long or work.request_class.length is Length.SHORT
-
-    def _is_free(self, slot: _Slot, now: float) -> bool:
-        key = (slot.server.name, slot.index)
-        return (
-            now >= slot.opens_at
-            and key not in self._busy
-            and key not in self._occupied_until
+        Queues are served in turn, so that of each other queue at most as
+        many are ahead as in the request's own.
+        """
+        ahead_s = self._expected_s(work.key, now)
+        for name, length in self._queues.lengths(work.service):
+            key = (work.service, name)
+            count = min(length, queued + 1) if key != work.key else length
+            ahead_s += count * self._expected_s(key, now)
+        return ahead_s / slots
+
+    def _expected_s(self, key: QueueKey, now: float) -> float:
+        times = self._times.get(key)
+        return times.expected_s(now) if times else 0.0
+
+    def _latest_start(self, work: Work, now: float) -> float:
+        """Return when a waiting request is given up."""
+        times = self._times.get(work.key)
+        need_s = times.quantile_s(START_QUANTILE) if times else 0.0
+        # A slow class must not be refused for ever on old samples.
+        left_s = work.deadline - now
+        return work.deadline - min(need_s, left_s / 2.0)
+
+    def _usable_slots(self, work: Work, now: float) -> float:
+        """Return the slots of servers in use, by how fast they are.
+
+        Kept until the next snapshot, since it looks at all servers.
+        """
+        key = (work.service, work.is_long)
+        if key not in self._open_slots:
+            total = 0.0
+            for name in self._slots.servers(work.service):
+                if self._may_use(name, now):
+                    row = self._slots.server(name)
+                    slots = row.mine_long if work.is_long else row.mine
+                    slowness = aged_slowness(self._health[name], now)
+                    total += slots / max(1.0, slowness)
+            self._open_slots[key] = total
+        return self._open_slots[key]
+
+    def _waiter(
+        self,
+        work: Work,
+        notify: Callable[[], object],
+        excluded: frozenset[ServerName],
+        now: float,
+    ) -> Waiter[Work, Grant]:
+        return Waiter(
+            key=work.key,
+            work=work,
+            excluded=excluded,
+            latest_start=self._latest_start(work, now),
+            notify=notify,
         )
 
-    def _may_use(self, server: Server, now: float) -> bool:
+    def _may_use(self, name: ServerName, now: float) -> bool:
+        current = self._snapshot.state.of(Server).get(name)
         return (
-            self._is_active(server)
-            and server.name not in self._snapshot.leaving_servers
-            and standing(self._health[server.name], now)
-            is not Standing.DRAINING
+            current is not None
+            and current.state is ServerState.ACTIVE
+            and name not in self._snapshot.leaving_servers
+            and standing(self._health[name], now) is not Standing.DRAINING
         )
 
     def _grant(
-        self, work: Work, excluded: frozenset[ServerName]
+        self, work: Work, excluded: frozenset[ServerName], now: float
     ) -> Grant | None:
-        now = self._clock.monotonic()
-        self._expire_occupied(now)
-        if self._region_cap is not None and self._used() >= self._region_cap:
+        free = self._slots.free_servers(work.service, is_long=work.is_long)
+        if not free or not self._units.has_room(now):
             return None
-        free: dict[ServerName, list[_Slot]] = {}
-        for slot in self._slots.get(work.service, ()):
-            if (
-                self._is_free(slot, now)
-                and self._fits(slot, work)
-                and slot.server.name not in excluded
-                and self._may_use(slot.server, now)
-            ):
-                free.setdefault(slot.server.name, []).append(slot)
-        candidate = choose(
-            [self._candidate(name) for name in free], now, self._rng
-        )
-        if candidate is None:
+        members = self._slots.servers(work.service)
+        keeps_free = not work.is_long and self._is_suspect(work, now)
+
+        def fits(name: ServerName) -> bool:
+            if name in excluded or not self._may_use(name, now):
+                return False
+            row = self._slots.server(name)
+            if work.is_long:
+                longs = row.long_in_flight + row.overdue
+                return longs < row.mine_long
+            if not keeps_free:
+                return True
+            if row.mine > 1:
+                return row.free > 1
+            return len(free) > len(members) / 4.0
+
+        name = choose(free, members, self._row, fits, now, self._rng)
+        if name is None:
             return None
         self._take_shift_cap(work, now)
-        # Short requests leave the slots for long ones to the last.
-        slot = min(free[candidate.health.name], key=lambda s: s.is_long)
+        return self._take(work, name, now)
+
+    def _row(self, name: ServerName) -> tuple[ServerHealth, ServerSlots]:
+        return self._health[name], self._slots.server(name)
+
+    def _take(self, work: Work, name: ServerName, now: float) -> Grant:
+        slot = self._slots.take(name, is_long=work.is_long)
         self._numbers += 1
         grant = Grant(
             number=self._numbers,
-            server=slot.server,
+            server=self._slots.server(name).server,
             slot=slot.index,
             seat=slot.seat,
+            unit=self._units.charge(now),
             work=work,
             granted_at=now,
         )
-        self._busy[slot.server.name, slot.index] = grant
+        self._busy[grant.number] = grant
+        usual_s = self._usual_s(work)
+        if not work.is_long and usual_s:
+            slowness = aged_slowness(self._health[name], now)
+            limit_s = OVERDUE_FACTOR * usual_s * max(1.0, slowness)
+            due_at = now + max(OVERDUE_MIN_S, limit_s)
+            self._overdue.watch(grant.number, work.key, name, due_at)
         return grant
 
-    def _used(self) -> int:
-        return len(self._busy) + len(self._occupied_until)
-
-    def _candidate(self, name: ServerName) -> Candidate:
-        in_flight = sum(1 for key in self._busy if key[0] == name)
-        in_flight += sum(1 for key in self._occupied_until if key[0] == name)
-        mine = sum(
-            1
-            for slots in self._slots.values()
-            for slot in slots
-            if slot.server.name == name
-        )
-        return Candidate(
-            health=self._health[name], in_flight=in_flight, slots=mine
-        )
+    def _usual_s(self, work: Work) -> float:
+        times = self._times.get(work.key)
+        return times.quantile_s(0.5) if times else 0.0
+
+    def _is_suspect(self, work: Work, now: float) -> bool:
+        """Tell whether a short class has to leave slots to the others."""
+        service = self._snapshot.state.of(Service).get(work.service)
+        if service is None:
+            return False
+        short = [c for c in service.classes if c.length is Length.SHORT]
+        if len(short) < 2:
+            return False
+        slots = int(self._usable_slots(work, now))
+        return self._overdue.is_suspect(work.key, slots, now)
 
     def _take_shift_cap(self, work: Work, now: float) -> None:
         """Count a request that crosses regions against its shift's cap."""
@@ -444,81 +552,114 @@
                 f"shift {shift.name} is at this instance's {cap}/s",
             )
 
-    def _free(self, grant: Grant) -> None:
-        key = (grant.server.name, grant.slot)
-        if self._busy.get(key) is grant:
-            del self._busy[key]
-        self._serve_queues()
-
-    def _serve_queues(self) -> None:
-        if not self._is_current(self._clock.monotonic()):
+    def _end(self, grant: Grant) -> None:
+        """Free what a grant holds; its exchange has provably ended."""
+        self._slots.free((grant.server.name, grant.slot))
+        self._units.refund(grant.unit)
+        server = self._overdue.end(grant.number)
+        if server is not None:
+            self._count_overdue(server, -1)
+
+    def _count_overdue(self, name: ServerName, change: int) -> None:
+        if name in self._health:
+            row = self._slots.server(name)
+            row.overdue = max(0, row.overdue + change)
+
+    def _record(
+        self, grant: Grant, end: ExchangeEnd, cancelled: bool, now: float
+    ) -> None:
+        work = grant.work
+        times = self._times.setdefault(work.key, ClassTimes())
+        elapsed_s = now - grant.granted_at
+        health = self._health.get(grant.server.name)
+        usual_s = times.mean_s
+        if cancelled:
+            times.record(elapsed_s, now)
+            if health is not None:
+                observe_at_least(health, elapsed_s, usual_s, now)
             return
-        for queue in self._queues.values():
-            while queue:
-                waiter = queue[0]
-                try:
-                    grant = self._grant(waiter.work, waiter.excluded)
-                except ChiverunError:
-                    grant = None
-                if grant is None:
-                    break
-                queue.popleft()
-                waiter.grant = grant
-                waiter.event.set()
-
-    def _expire_occupied(self, now: float) -> None:
-        expired = [k for k, v in self._occupied_until.items() if now >= v[0]]
-        for key in expired:
-            del self._occupied_until[key]
-
-    def _rebuild(self, snapshot: "Snapshot") -> None:
-        """Lay out the slots of held seats after a change."""
+        if classify(end).outcome is Outcome.ANSWERED:
+            times.record(elapsed_s, now)
+        if health is not None:
+            usual_s = usual_s or times.mean_s
+            record(health, end, elapsed_s, usual_s, now)
+
+    def _serve(self, now: float) -> None:
+        if self._is_current(now):
+            self._queues.serve(
+                now, self._may_try, self._grant_waiter, self._expire_waiter
+            )
+
+    def _may_try(self, key: QueueKey) -> bool:
+        free = self._slots.free_servers(key[0], is_long=False)
+        return bool(free)
+
+    def _grant_waiter(self, waiter: Waiter[Work, Grant]) -> Grant | None:
+        now = self._clock.monotonic()
+        return self._grant(waiter.work, waiter.excluded, now)
+
+    def _expire_waiter(self, waiter: Waiter[Work, Grant]) -> ChiverunError:
+        return _late(waiter.work)
+
+    def _advance(self, now: float) -> None:
+        """Apply what time has changed."""
+        for name in self._overdue.advance(now):
+            self._count_overdue(name, 1)
+        self._slots.advance(now)
+        while self._occupied and self._occupied[0][0] <= now:
+            self._end(heapq.heappop(self._occupied)[2])
+
+    def _rebuild(self, snapshot: "Snapshot", now: float) -> None:
+        """Lay out slots, health rows and caps anew after a change."""
         state = snapshot.state
-        self._slots = {}
         zone = state.of(Zone).get(self._zone)
-        if zone is None:
+        servers = [
+            server
+            for server in state.of(Server).values()
+            if zone is not None and server.zone == self._zone
+        ]
+        seats = zone.seats if zone is not None else 1
+        self._slots.rebuild(servers, snapshot.seats, seats, now)
+        self._rebuild_health(servers, now)
+        self._rebuild_units(snapshot, zone)
+        services = state.of(Service)
+        for key in [k for k in self._times if k[0] not in services]:
+            del self._times[key]
+        shifts = state.of(Shift)
+        for name in [n for n in self._shift_limits if n not in shifts]:
+            del self._shift_limits[name]
+
+    def _rebuild_health(self, servers: list[Server], now: float) -> None:
+        """Keep the rows of known servers; start new ones slowly.
+
+        The servers of a new instance are new to it and not cold.
+        """
+        old = self._health
+        is_running = any(row.samples for row in old.values())
+        self._health = {}
+        for server in servers:
+            row = old.get(server.name)
+            if row is None or row.address != server.address:
+                row = ServerHealth(name=server.name, address=server.address)
+                if is_running:
+                    row.returned_at = now
+            self._health[server.name] = row
+
+    def _rebuild_units(self, snapshot: "Snapshot", zone: Zone | None) -> None:
+        state = snapshot.state
+        region = state.of(Region).get(zone.region) if zone else None
+        if zone is None or region is None:
+            self._units.rebuild("", 0, (), 0, 1)
             return
-        seats = {seat.index: seat for seat in snapshot.seats}
-        names = set()
-        for server in state.of(Server).values():
-            if server.zone != self._zone:
-                continue
-            names.add(server.name)
-            self._health.setdefault(
-                server.name, ServerHealth(name=server.name)
-            )
-            rows = self._slots.setdefault(server.service, [])
-            for index in range(server.slots):
-                seat = seats.get(slot_seat(server.name, index, zone.seats))
-                if seat is None:
-                    continue
-                is_long = index < server.long_slots
-                rows.append(
-                    _Slot(
-                        server=server,
-                        index=index,
-                        seat=seat.index,
-                        is_long=is_long,
-                        opens_at=seat.long_from
-                        if is_long
-                        else seat.short_from,
-                    )
-                )
-        for name in set(self._health) - names:
-            del self._health[name]
-        self._rebuild_region_cap(snapshot, zone)
-
-    def _rebuild_region_cap(self, snapshot: "Snapshot", zone: Zone) -> None:
-        region = snapshot.state.of(Region).get(zone.region)
-        self._region_cap = None
-        if region is not None and region.in_flight_max:
-            self._region_cap = held_portion(
-                snapshot.state,
-                f"region:{region.name}",
-                region.in_flight_max,
-                self._zone,
-                [seat.index for seat in snapshot.seats],
-            )
+        zones = region_zones(state, region.name)
+        place = [z.name for z in zones].index(zone.name)
+        self._units.rebuild(
+            f"region:{region.name}",
+            region.in_flight_max,
+            snapshot.seats,
+            sum(z.seats for z in zones[:place]),
+            sum(z.seats for z in zones),
+        )
 
 
 def _may_still_run(end: ExchangeEnd) -> bool:
@@ -532,6 +673,10 @@
             return True
 
 
+def _late(work: Work) -> ChiverunError:
+    return _refusal(ResultCode.DEADLINE_UNREACHABLE, work, "no slot in time")
+
+
 def _refusal(code: ResultCode, work: Work, reason: str) -> ChiverunError:
     return ChiverunError(
         code,
--- a/chiverun/core/choice.py
+++ b/chiverun/core/choice.py
@@ -1,62 +1,117 @@
 """Choice of a backend server among those with a free slot."""
 
-import dataclasses
 import random
+from collections.abc import Callable
 from collections.abc import Sequence
 
+from chiverun.core.health import aged_slowness
+from chiverun.core.health import is_slow
 from chiverun.core.health import ServerHealth
 from chiverun.core.health import slow_start_share
 from chiverun.core.health import Standing
 from chiverun.core.health import standing
+from chiverun.core.ids import ServerName
+from chiverun.core.slots import NameSet
+from chiverun.core.slots import ServerSlots
 
-# Part of choices that go to the less recently measured candidate, so that a
-# server that has become fast again is noticed.
-EXPLORE_RATIO = 0.02
+# Draws before all servers with a free slot are looked at.
+DRAWS_MAX = 8
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Candidate:
-    """A server with at least one free slot of this instance."""
-
-    health: ServerHealth
-    in_flight: int
-    slots: int
+Lookup = Callable[[ServerName], tuple[ServerHealth, ServerSlots]]
+Fits = Callable[[ServerName], bool]
 
 
 def choose(
-    candidates: Sequence[Candidate], now: float, rng: random.Random
-) -> Candidate | None:
+    free: NameSet,
+    members: Sequence[ServerName],
+    lookup: Lookup,
+    fits: Fits,
+    now: float,
+    rng: random.Random,
+) -> ServerName | None:
     """Choose a server: power of two choices by expected latency.
 
-    Servers that are ejected or draining are left out. If all others are
-    ejected, one of the ejected is tried, since a wrong ejection of all must
-    not stop a service; draining ones are never tried.
+    Parameters
+    ----------
+    free : NameSet
+        Servers with a free slot for the request.
+    members : Sequence[ServerName]
+        All servers of the service that have slots here.
+    lookup : Callable
+        Gives a server's health and slots.
+    fits : Callable
+        Tells whether the request may go to a server at all: never to one
+        that is drained, excluded or whose remaining slots are kept free.
+    now : float
+        Monotonic seconds.
+    rng : random.Random
+    """
+    first: ServerName | None = None
+    draws = DRAWS_MAX if len(free) else 0
+    for _ in range(draws):
+        name = free.draw(rng)
+        if name == first or not _may_start(lookup, name, now):
+            continue
+        if not fits(name):
+            continue
+        if first is None:
+            first = name
+            continue
+        return min(
+            first, name, key=lambda n: expected_slowness(lookup, n, now)
+        )
+    return _scan(free, members, lookup, fits, now, rng)
+
+
+def _scan(
+    free: NameSet,
+    members: Sequence[ServerName],
+    lookup: Lookup,
+    fits: Fits,
+    now: float,
+    rng: random.Random,
+) -> ServerName | None:
+    """Look at all servers with a free slot.
+
+    Slow servers are left out only while there is another server to wait
+    for; a wrong ejection of all must not stop a service, so one request at
+    a time is then tried on an ejected server.
     """
-    usable = [c for c in candidates if _may_start(c, now)]
-    if not usable:
+    fitting = [name for name in free.names if fits(name)]
+    usable = [name for name in fitting if _may_start(lookup, name, now)]
+    if not usable and not any(_is_normal(lookup, n, now) for n in members):
         usable = [
-            c
-            for c in candidates
-            if standing(c.health, now) is Standing.EJECTED and c.in_flight == 0
-        ]
-    if not usable:
-        return None
-    if len(usable) == 1:
-        return usable[0]
-    first, second = rng.sample(usable, 2)
-    if rng.random() < EXPLORE_RATIO:
-        return min(first, second, key=lambda c: c.health.samples)
-    return min(first, second, key=expected_latency_s)
-
-
-def expected_latency_s(candidate: Candidate) -> float:
-    """Return the smoothed latency, raised by the requests in flight."""
-    load = candidate.in_flight / candidate.slots
-    return candidate.health.latency_s * (1.0 + load)
-
-
-def _may_start(candidate: Candidate, now: float) -> bool:
-    if standing(candidate.health, now) is not Standing.OPEN:
+            name
+            for name in fitting
+            if standing(lookup(name)[0], now) is Standing.OPEN
+        ] or [name for name in fitting if lookup(name)[1].in_flight == 0]
+    if len(usable) > 2:
+        usable = rng.sample(usable, 2)
+    return min(
+        usable,
+        key=lambda n: expected_slowness(lookup, n, now),
+        default=None,
+    )
+
+
+def expected_slowness(lookup: Lookup, name: ServerName, now: float) -> float:
+    """Return the aged slowness, raised by the requests in flight."""
+    health, slots = lookup(name)
+    load = slots.in_flight / max(1, slots.mine)
+    return aged_slowness(health, now) * (1.0 + load)
+
+
+def _is_normal(lookup: Lookup, name: ServerName, now: float) -> bool:
+    health, _ = lookup(name)
+    return standing(health, now) is Standing.OPEN and not is_slow(health)
+
+
+def _may_start(lookup: Lookup, name: ServerName, now: float) -> bool:
+    health, slots = lookup(name)
+    if standing(health, now) is not Standing.OPEN:
         return False
-    share = slow_start_share(candidate.health, now)
-    return candidate.in_flight < max(1.0, share * candidate.slots)
+    if is_slow(health):
+        # One probe once the estimate has aged.
+        return slots.in_flight == 0 and not is_slow(health, now)
+    share = slow_start_share(health, now)
+    return slots.in_flight < max(1.0, share * slots.mine)
--- a/chiverun/core/health.py
+++ b/chiverun/core/health.py
@@ -18,10 +18,17 @@
 if TYPE_CHECKING:
     from chiverun.core.ids import ServerName
 
-LATENCY_WEIGHT = 0.2
+SLOWNESS_WEIGHT = 0.3
+SLOWNESS_MAX = 100.0
 # Latency counted for a failed exchange: a server that fails fast must not
 # look fast.
 FAILURE_LATENCY_S = 1.0
+# A server this many times slower than the class usually is gets no requests
+# but single probes.
+SLOW_FACTOR = 3.0
+# Half-life of an estimate that gets no samples, so that a server that has
+# become fast again is noticed.
+SLOWNESS_HALF_LIFE_S = 2.0
 EJECT_AFTER_FAILURES = 3
 EJECT_S = 2.0
 EJECT_MAX_S = 30.0
@@ -42,10 +49,17 @@
 
 @dataclasses.dataclass(kw_only=True)
 class ServerHealth:
-    """Row of a backend server; times are monotonic seconds."""
+    """Row of a backend server; times are monotonic seconds.
+
+    `slowness` is the smoothed ratio of latency to what is usual for the
+    class of each request, so that servers compare equally whatever mix of
+    short and long requests they ran.
+    """
 
     name: "ServerName"
-    latency_s: float = 0.0
+    address: str = ""
+    slowness: float = 1.0
+    measured_at: float = float("-inf")
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
@@ -64,9 +78,13 @@
 
 
 def record(
-    row: ServerHealth, end: ExchangeEnd, latency_s: float, now: float
+    row: ServerHealth,
+    end: ExchangeEnd,
+    latency_s: float,
+    usual_s: float,
+    now: float,
 ) -> None:
-    """Record how an exchange ended."""
+    """Record how an exchange ended; `usual_s` is its class's usual time."""
     match end:
         case Shed(reason=ShedReason.DRAINING):
             mark_draining(row, now)
@@ -74,19 +92,23 @@
             row.ejected_until = max(row.ejected_until, now + SHED_PAUSE_S)
         case Shed():
             pass
+        case TimedOut() if latency_s < SLOW_FACTOR * usual_s:
+            # A caller's deadline was short; the server may be all right.
+            pass
         case _:
-            _record_exchange(row, end, latency_s, now)
+            _record_exchange(row, end, latency_s, usual_s, now)
 
 
 def _record_exchange(
-    row: ServerHealth, end: ExchangeEnd, latency_s: float, now: float
+    row: ServerHealth,
+    end: ExchangeEnd,
+    latency_s: float,
+    usual_s: float,
+    now: float,
 ) -> None:
     failed = classify(end).outcome is not Outcome.ANSWERED
     sample = max(latency_s, FAILURE_LATENCY_S) if failed else latency_s
-    if row.samples == 0:
-        row.latency_s = sample
-    else:
-        row.latency_s += LATENCY_WEIGHT * (sample - row.latency_s)
+    observe(row, sample, usual_s, now)
     row.samples += 1
     if not failed:
         row.failures = 0
@@ -100,9 +122,43 @@
         eject(row, now)
 
 
+def observe(
+    row: ServerHealth, latency_s: float, usual_s: float, now: float
+) -> None:
+    """Add a latency, or a lower bound of one that is above the estimate."""
+    if usual_s <= 0.0:
+        return
+    sample = min(SLOWNESS_MAX, latency_s / usual_s)
+    aged = aged_slowness(row, now)
+    row.slowness = aged + SLOWNESS_WEIGHT * (sample - aged)
+    row.measured_at = now
+
+
+def observe_at_least(
+    row: ServerHealth, latency_s: float, usual_s: float, now: float
+) -> None:
+    """Add the time that a cancelled exchange had run for."""
+    if usual_s > 0.0 and latency_s / usual_s > aged_slowness(row, now):
+        observe(row, latency_s, usual_s, now)
+
+
+def aged_slowness(row: ServerHealth, now: float) -> float:
+    """Return the estimate, moved towards 1 as it gets old."""
+    age_s = max(0.0, now - row.measured_at)
+    return 1.0 + (row.slowness - 1.0) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+
+
+def is_slow(row: ServerHealth, now: float | None = None) -> bool:
+    """Tell whether the last, or at `now` the aged, estimate is slow."""
+    slowness = row.slowness if now is None else aged_slowness(row, now)
+    return slowness > SLOW_FACTOR
+
+
 def eject(row: ServerHealth, now: float) -> None:
     """Take a server out for a time that doubles with each ejection."""
-    pause_s = min(EJECT_MAX_S, EJECT_S * 2**row.ejections)
+    # The exponent is bounded: a float cannot hold 2**1024, which a server
+    # that stays dead for hours would reach.
+    pause_s = min(EJECT_MAX_S, EJECT_S * 2 ** min(row.ejections, 10))
     row.ejected_until = now + pause_s
     row.returned_at = row.ejected_until
     row.ejections += 1
--- /dev/null
+++ b/chiverun/core/overdue.py
@@ -0,0 +1,86 @@
+"""Requests of short classes that run far longer than their class usually.
+
+They count as long for their server. A class with many of them may not take
+the last free slot of a server, so that the other classes of the service go
+on.
+"""
+
+import dataclasses
+import heapq
+from typing import TYPE_CHECKING
+
+from chiverun.core.waiting import QueueKey
+
+if TYPE_CHECKING:
+    from chiverun.core.ids import ServerName
+
+# With exponential running times one request in 250 exceeds 8 medians.
+OVERDUE_FACTOR = 8.0
+OVERDUE_MIN_S = 0.02
+# A class is suspect from this many overdue requests, or this part of the
+# service's slots.
+SUSPECT_MIN = 2
+SUSPECT_SHARE = 0.1
+# Stays suspect for this time, so that it does not refill all slots at once.
+SUSPECT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Overdue:
+    key: QueueKey
+    server: "ServerName"
+
+
+class OverdueTable:
+    """Watched requests by number; callers hold a lock."""
+
+    def __init__(self) -> None:
+        self._due: list[tuple[float, int]] = []
+        self._watched: dict[int, _Overdue] = {}
+        self._overdue: dict[int, _Overdue] = {}
+        self._by_class: dict[QueueKey, int] = {}
+        self._suspect_until: dict[QueueKey, float] = {}
+
+    def watch(
+        self, number: int, key: QueueKey, server: "ServerName", due_at: float
+    ) -> None:
+        """Watch a request that becomes overdue at `due_at`."""
+        self._watched[number] = _Overdue(key=key, server=server)
+        heapq.heappush(self._due, (due_at, number))
+
+    def advance(self, now: float) -> list["ServerName"]:
+        """Return the server of each request that has become overdue."""
+        servers = []
+        while self._due and self._due[0][0] <= now:
+            _, number = heapq.heappop(self._due)
+            row = self._watched.pop(number, None)
+            if row is not None:
+                self._overdue[number] = row
+                self._by_class[row.key] = self._by_class.get(row.key, 0) + 1
+                servers.append(row.server)
+        return servers
+
+    def end(self, number: int) -> "ServerName | None":
+        """Stop watching; return the server if the request was overdue."""
+        self._watched.pop(number, None)
+        row = self._overdue.pop(number, None)
+        if len(self._due) > 64 + 2 * len(self._watched):
+            self._due = [d for d in self._due if d[1] in self._watched]
+            heapq.heapify(self._due)
+        if row is None:
+            return None
+        self._by_class[row.key] -= 1
+        if not self._by_class[row.key]:
+            del self._by_class[row.key]
+        return row.server
+
+    def is_suspect(self, key: QueueKey, slots: int, now: float) -> bool:
+        """Tell whether a class has many overdue requests, or had lately."""
+        least = max(SUSPECT_MIN, SUSPECT_SHARE * slots)
+        if self._by_class.get(key, 0) >= least:
+            self._suspect_until[key] = now + SUSPECT_S
+            return True
+        until = self._suspect_until.get(key)
+        if until is not None and now >= until:
+            del self._suspect_until[key]
+        return until is not None and now < until
--- /dev/null
+++ b/chiverun/core/times.py
@@ -0,0 +1,70 @@
+"""Observed running times of request classes.
+
+Bucket limits grow by 20%, so a quantile is at most that far off.
+"""
+
+import bisect
+import dataclasses
+
+_FIRST_S = 0.0002
+_GROWTH = 1.2
+_LIMITS_S = tuple(_FIRST_S * _GROWTH**n for n in range(72))
+# Old samples lose half of their weight each time this many have come.
+_HALVE_AFTER = 400
+# Quantiles are computed again after this many samples.
+_CACHE_FOR = 16
+_MEAN_WEIGHT = 0.05
+# Estimates used to refuse requests fade with this half-life when no sample
+# comes, since refusing everything would keep a wrong estimate for ever.
+_FADE_S = 2.0
+SAMPLES_MIN = 20
+
+
+@dataclasses.dataclass(kw_only=True)
+class ClassTimes:
+    """Running times of one class of a service, in seconds."""
+
+    mean_s: float = 0.0
+    samples: int = 0
+    last_at: float = 0.0
+    _counts: list[float] = dataclasses.field(
+        default_factory=lambda: [0.0] * len(_LIMITS_S)
+    )
+    _total: float = 0.0
+    _cached: dict[float, float] = dataclasses.field(default_factory=dict)
+
+    def record(self, seconds: float, now: float) -> None:
+        """Add a sample."""
+        weight = max(_MEAN_WEIGHT, 1.0 / (self.samples + 1))
+        self.mean_s += weight * (seconds - self.mean_s)
+        self.samples += 1
+        self.last_at = now
+        place = bisect.bisect_left(_LIMITS_S, seconds)
+        self._counts[min(place, len(_LIMITS_S) - 1)] += 1.0
+        self._total += 1.0
+        if self.samples % _CACHE_FOR == 0:
+            self._cached.clear()
+        if self.samples % _HALVE_AFTER == 0:
+            self._counts = [count / 2.0 for count in self._counts]
+            self._total /= 2.0
+
+    def quantile_s(self, part: float) -> float:
+        """Return a quantile, or 0 while there are too few samples."""
+        if self.samples < SAMPLES_MIN:
+            return 0.0
+        if part not in self._cached:
+            self._cached[part] = self._find(part)
+        return self._cached[part]
+
+    def expected_s(self, now: float) -> float:
+        """Return the mean, faded when the last sample is old."""
+        age_s = max(0.0, now - self.last_at - _FADE_S)
+        return self.mean_s * 0.5 ** (age_s / _FADE_S)
+
+    def _find(self, part: float) -> float:
+        left = part * self._total
+        for limit_s, count in zip(_LIMITS_S, self._counts, strict=True):
+            left -= count
+            if left <= 0:
+                return limit_s
+        return _LIMITS_S[-1]
--- /dev/null
+++ b/chiverun/core/waiting.py
@@ -0,0 +1,128 @@
+"""Bounded queues of requests that wait for a slot, by service and class."""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Generic
+from typing import TypeVar
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.ids import ServerName
+from chiverun.core.ids import ServiceName
+
+G = TypeVar("G")
+W = TypeVar("W")
+QueueKey = tuple[ServiceName, str]
+
+# Waiters of one queue that are passed over, because the servers they may
+# use are busy, before the rest of the queue has to wait for a next turn.
+PASSED_OVER_MAX = 32
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Waiter(Generic[W, G]):
+    """A waiting request; ends with `grant` or `error` and a `notify` call.
+
+    It is not worth starting after `latest_start` (monotonic seconds).
+    """
+
+    key: QueueKey
+    work: W
+    excluded: frozenset[ServerName]
+    latest_start: float
+    notify: Callable[[], object]
+    grant: G | None = None
+    error: ChiverunError | None = None
+
+    def finish(
+        self, *, grant: G | None = None, error: ChiverunError | None = None
+    ) -> None:
+        """Set the result and wake the one who waits."""
+        self.grant = grant
+        self.error = error
+        self.notify()
+
+
+class WaitQueues(Generic[W, G]):
+    """Queues in turn; callers hold a lock."""
+
+    def __init__(self) -> None:
+        # Insertion order is queue order, and removal takes constant time.
+        self._queues: collections.OrderedDict[
+            QueueKey, dict[Waiter[W, G], None]
+        ] = collections.OrderedDict()
+
+    def add(self, waiter: Waiter[W, G]) -> None:
+        """Append a waiter to its queue."""
+        self._queues.setdefault(waiter.key, {})[waiter] = None
+
+    def remove(self, waiter: Waiter[W, G]) -> None:
+        """Remove a waiter if it is still queued."""
+        queue = self._queues.get(waiter.key)
+        if queue is not None and waiter in queue:
+            del queue[waiter]
+            if not queue:
+                del self._queues[waiter.key]
+
+    def length(self, key: QueueKey) -> int:
+        """Return the number of waiters of a queue."""
+        return len(self._queues.get(key, ()))
+
+    def lengths(self, service: ServiceName) -> Iterable[tuple[str, int]]:
+        """Return class name and length of a service's queues."""
+        return [
+            (key[1], len(queue))
+            for key, queue in self._queues.items()
+            if key[0] == service
+        ]
+
+    def serve(
+        self,
+        now: float,
+        may_try: Callable[[QueueKey], bool],
+        grant: Callable[[Waiter[W, G]], G | None],
+        expired: Callable[[Waiter[W, G]], ChiverunError],
+    ) -> None:
+        """Grant what can be granted, one waiter of each queue in turn."""
+        progress = True
+        while progress:
+            progress = False
+            for key in list(self._queues):
+                if may_try(key) and self._serve_one(key, now, grant, expired):
+                    progress = True
+                    if key in self._queues:
+                        self._queues.move_to_end(key)
+
+    def _serve_one(
+        self,
+        key: QueueKey,
+        now: float,
+        grant: Callable[[Waiter[W, G]], G | None],
+        expired: Callable[[Waiter[W, G]], ChiverunError],
+    ) -> bool:
+        """Serve the first waiter of a queue that can be served.
+
+        A waiter that is refused for a reason of its own, such as a shift's
+        cap or its deadline, ends with the refusal and does not block others.
+        """
+        passed_over = 0
+        for waiter in list(self._queues[key])[: PASSED_OVER_MAX * 2]:
+            if waiter.latest_start < now:
+                self.remove(waiter)
+                waiter.finish(error=expired(waiter))
+                continue
+            try:
+                granted = grant(waiter)
+            except ChiverunError as exc:
+                self.remove(waiter)
+                waiter.finish(error=exc)
+                continue
+            if granted is not None:
+                self.remove(waiter)
+                waiter.finish(grant=granted)
+                return True
+            passed_over += 1
+            if passed_over >= PASSED_OVER_MAX:
+                break
+        return False
