--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -480,7 +480,15 @@
                 return row.free > 1
             return len(free) > len(members) / 4.0
 
-        name = choose(free, members, self._row, fits, now, self._rng)
+        name = choose(
+            free,
+            members,
+            self._row,
+            fits,
+            now,
+            self._rng,
+            may_probe=work.request_class.repeatable,
+        )
         if name is None:
             return None
         self._take_shift_cap(work, now)
--- a/chiverun/core/choice.py
+++ b/chiverun/core/choice.py
@@ -7,6 +7,7 @@
 from chiverun.core.health import aged_slowness
 from chiverun.core.health import is_slow
 from chiverun.core.health import ServerHealth
+from chiverun.core.health import SLOW_FACTOR
 from chiverun.core.health import slow_start_share
 from chiverun.core.health import Standing
 from chiverun.core.health import standing
@@ -16,6 +17,9 @@
 
 # Draws before all servers with a free slot are looked at.
 DRAWS_MAX = 8
+# Aged slowness at which a request that cannot be hedged probes as well, for
+# services that have no others.
+PROBE_ANYWAY = 1.5
 
 Lookup = Callable[[ServerName], tuple[ServerHealth, ServerSlots]]
 Fits = Callable[[ServerName], bool]
@@ -28,6 +32,8 @@
     fits: Fits,
     now: float,
     rng: random.Random,
+    *,
+    may_probe: bool = True,
 ) -> ServerName | None:
     """Choose a server: power of two choices by expected latency.
 
@@ -45,12 +51,15 @@
     now : float
         Monotonic seconds.
     rng : random.Random
+    may_probe : bool
+        Whether the request may probe a slow server. One that may be hedged
+        loses little by it.
     """
     first: ServerName | None = None
     draws = DRAWS_MAX if len(free) else 0
     for _ in range(draws):
         name = free.draw(rng)
-        if name == first or not _may_start(lookup, name, now):
+        if name == first or not _may_start(lookup, name, now, may_probe):
             continue
         if not fits(name):
             continue
@@ -60,7 +69,7 @@
         return min(
             first, name, key=lambda n: expected_slowness(lookup, n, now)
         )
-    return _scan(free, members, lookup, fits, now, rng)
+    return _scan(free, members, lookup, fits, now, rng, may_probe)
 
 
 def _scan(
@@ -70,6 +79,7 @@
     fits: Fits,
     now: float,
     rng: random.Random,
+    may_probe: bool,
 ) -> ServerName | None:
     """Look at all servers with a free slot.
 
@@ -78,13 +88,15 @@
     a time is then tried on an ejected server.
     """
     fitting = [name for name in free.names if fits(name)]
-    usable = [name for name in fitting if _may_start(lookup, name, now)]
+    usable = [
+        name for name in fitting if _may_start(lookup, name, now, may_probe)
+    ]
     if not usable and not any(_is_normal(lookup, n, now) for n in members):
         usable = [
             name
             for name in fitting
             if standing(lookup(name)[0], now) is Standing.OPEN
-        ] or [name for name in fitting if lookup(name)[1].in_flight == 0]
+        ] or [name for name in fitting if _may_try(lookup, name, now)]
     if len(usable) > 2:
         usable = rng.sample(usable, 2)
     return min(
@@ -106,12 +118,21 @@
     return standing(health, now) is Standing.OPEN and not is_slow(health)
 
 
-def _may_start(lookup: Lookup, name: ServerName, now: float) -> bool:
+def _may_try(lookup: Lookup, name: ServerName, now: float) -> bool:
+    health, slots = lookup(name)
+    is_ejected = standing(health, now) is Standing.EJECTED
+    return is_ejected and slots.in_flight == 0
+
+
+def _may_start(
+    lookup: Lookup, name: ServerName, now: float, may_probe: bool
+) -> bool:
     health, slots = lookup(name)
     if standing(health, now) is not Standing.OPEN:
         return False
     if is_slow(health):
         # One probe once the estimate has aged.
-        return slots.in_flight == 0 and not is_slow(health, now)
+        limit = SLOW_FACTOR if may_probe else PROBE_ANYWAY
+        return slots.in_flight == 0 and aged_slowness(health, now) <= limit
     share = slow_start_share(health, now)
     return slots.in_flight < max(1.0, share * slots.mine)
--- a/chiverun/core/health.py
+++ b/chiverun/core/health.py
@@ -27,8 +27,10 @@
 # but single probes.
 SLOW_FACTOR = 3.0
 # Half-life of an estimate that gets no samples, so that a server that has
-# become fast again is noticed.
+# become fast again is noticed. It doubles with each probe that was slow: at a
+# constant one, probes of lasting slow servers made up 1% of the requests.
 SLOWNESS_HALF_LIFE_S = 2.0
+SLOW_STREAK_MAX = 3
 EJECT_AFTER_FAILURES = 3
 EJECT_S = 2.0
 EJECT_MAX_S = 30.0
@@ -60,6 +62,7 @@
     address: str = ""
     slowness: float = 1.0
     measured_at: float = float("-inf")
+    slow_streak: int = 0
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
@@ -130,28 +133,46 @@
         return
     sample = min(SLOWNESS_MAX, latency_s / usual_s)
     aged = aged_slowness(row, now)
-    row.slowness = aged + SLOWNESS_WEIGHT * (sample - aged)
-    row.measured_at = now
+    _set(row, aged + SLOWNESS_WEIGHT * (sample - aged), sample, now)
 
 
 def observe_at_least(
     row: ServerHealth, latency_s: float, usual_s: float, now: float
 ) -> None:
-    """Add the time that a cancelled exchange had run for."""
-    if usual_s > 0.0 and latency_s / usual_s > aged_slowness(row, now):
-        observe(row, latency_s, usual_s, now)
+    """Add the time that a cancelled exchange had run for.
+
+    It is no sign of recovery, so it keeps an older, higher estimate.
+    """
+    if usual_s <= 0.0:
+        return
+    sample = latency_s / usual_s
+    aged = aged_slowness(row, now)
+    if sample > aged:
+        estimate = aged + SLOWNESS_WEIGHT * (sample - aged)
+        _set(row, max(row.slowness, estimate), sample, now)
+
+
+def _set(
+    row: ServerHealth, estimate: float, sample: float, now: float
+) -> None:
+    if estimate <= SLOW_FACTOR:
+        row.slow_streak = 0
+    elif sample > SLOW_FACTOR:
+        row.slow_streak = min(SLOW_STREAK_MAX, row.slow_streak + 1)
+    row.slowness = estimate
+    row.measured_at = now
 
 
 def aged_slowness(row: ServerHealth, now: float) -> float:
     """Return the estimate, moved towards 1 as it gets old."""
     age_s = max(0.0, now - row.measured_at)
-    return 1.0 + (row.slowness - 1.0) * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+    half_life_s = SLOWNESS_HALF_LIFE_S * 2**row.slow_streak
+    return 1.0 + (row.slowness - 1.0) * 0.5 ** (age_s / half_life_s)
 
 
-def is_slow(row: ServerHealth, now: float | None = None) -> bool:
-    """Tell whether the last, or at `now` the aged, estimate is slow."""
-    slowness = row.slowness if now is None else aged_slowness(row, now)
-    return slowness > SLOW_FACTOR
+def is_slow(row: ServerHealth) -> bool:
+    """Tell whether the last estimate, however old, is slow."""
+    return row.slowness > SLOW_FACTOR
 
 
 def eject(row: ServerHealth, now: float) -> None:
--- a/chiverun/core/waiting.py
+++ b/chiverun/core/waiting.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Generic
@@ -15,9 +16,9 @@
 W = TypeVar("W")
 QueueKey = tuple[ServiceName, str]
 
-# Waiters of one queue that are passed over, because the servers they may
-# use are busy, before the rest of the queue has to wait for a next turn.
-PASSED_OVER_MAX = 32
+# Waiters of one queue that are looked at in one turn, if those before have
+# expired or exclude the servers that are free.
+LOOKED_AT_MAX = 64
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -106,8 +107,7 @@
         A waiter that is refused for a reason of its own, such as a shift's
         cap or its deadline, ends with the refusal and does not block others.
         """
-        passed_over = 0
-        for waiter in list(self._queues[key])[: PASSED_OVER_MAX * 2]:
+        for waiter in self._first(key):
             if waiter.latest_start < now:
                 self.remove(waiter)
                 waiter.finish(error=expired(waiter))
@@ -122,7 +122,10 @@
                 self.remove(waiter)
                 waiter.finish(grant=granted)
                 return True
-            passed_over += 1
-            if passed_over >= PASSED_OVER_MAX:
+            if not waiter.excluded:
+                # No server takes this class, so none behind can start.
                 break
         return False
+
+    def _first(self, key: QueueKey) -> list[Waiter[W, G]]:
+        return list(itertools.islice(self._queues[key], LOOKED_AT_MAX))
--- /dev/null
+++ b/standins/load_model.py
@@ -0,0 +1,564 @@
+"""Discrete-event model of a deployment under load, in virtual time.
+
+The decisions are the product's own code (`Admission` with its choice, queue
+and learnt times, `overflow_targets`, `RetryBudget`, `plan_hedge`); servers,
+network and callers are modelled. The naive system sends each request to a
+random live server of the caller's region, which queues without a bound.
+
+Latency is counted from a request's arrival at an instance to its complete
+response there, so the callers' own distance is left out for both systems.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from hdrh.histogram import HdrHistogram
+
+from chiverun.core.admission import Admission
+from chiverun.core.admission import Grant
+from chiverun.core.admission import Work
+from chiverun.core.clock import ManualClock
+from chiverun.core.errors import ChiverunError
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import Reset
+from chiverun.core.ids import InstanceId
+from chiverun.core.retries import plan_hedge
+from chiverun.core.retries import RetryBudget
+from chiverun.core.routing import overflow_targets
+from chiverun.core.snapshot import EntryAddresses
+from chiverun.core.snapshot import HeldSeat
+from chiverun.core.snapshot import Snapshot
+from chiverun.core.snapshot import ZoneView
+from chiverun.core.state import apply_ticket
+from chiverun.core.state import empty_state
+from chiverun.core.ticket import Length
+from chiverun.core.ticket import read_ticket
+from chiverun.core.ticket import RequestClass
+from chiverun.core.ticket import Service
+from standins.deployment import first_ticket
+from standins.deployment import instances
+from standins.deployment import SEATS
+from standins.deployment import servers
+from standins.deployment import Spec
+
+SHORT_S = 0.010
+LONG_FACTOR = 50.0
+# Shape of the running times around their mean.
+SIGMA = 0.5
+TICK_S = 0.1
+# Time from the cancellation of a request to its end at the server.
+CANCEL_S = 0.001
+_OK = Answered(status=200, headers=(), body=b"")
+_CUT = Reset(detail="cancelled")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Load:
+    """What callers do; times in seconds.
+
+    `level` is the work offered as a part of all slots, of which `long_share`
+    of the requests are long; `hidden` sends them as short ones. A part
+    `write_share` of the short requests is of the class that may not repeat.
+    """
+
+    level: float
+    seconds: float = 4.0
+    warm_s: float = 2.0
+    long_share: float = 0.0
+    write_share: float = 0.3
+    hidden: bool = False
+    deadline_s: float | None = None
+    slowed: int = 0
+    slow_factor: float = 10.0
+    region_cap_share: float = 0.0
+
+    def mean_s(self) -> float:
+        """Return the mean running time."""
+        return SHORT_S * (1.0 + self.long_share * (LONG_FACTOR - 1.0))
+
+
+@dataclasses.dataclass(kw_only=True)
+class Tally:
+    """What a run measured, of the requests after its warm-up."""
+
+    short_us: HdrHistogram = dataclasses.field(
+        default_factory=lambda: HdrHistogram(1, 600_000_000, 3)
+    )
+    write_us: HdrHistogram = dataclasses.field(
+        default_factory=lambda: HdrHistogram(1, 600_000_000, 3)
+    )
+    offered: int = 0
+    in_time: int = 0
+    not_run: int = 0
+    long_offered: int = 0
+    long_in_time: int = 0
+    hedges: int = 0
+    over_cap: int = 0
+    queued_at_server: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _Run:
+    """One request on a server."""
+
+    duration_s: float
+    is_long: bool
+    done: Callable[[], None]
+    cancelled: bool = False
+    started: bool = False
+
+
+class _Server:
+    """A server that counts what runs and queues what does not fit."""
+
+    def __init__(self, model: "Model", spec, region: str) -> None:
+        self._model = model
+        self.slots = spec.service.slots
+        self.long_slots = spec.service.long_slots
+        self.region = region
+        self.slow = 1.0
+        self.running = 0
+        self.long_running = 0
+        self._queue: list[_Run] = []
+
+    def add(self, run: _Run) -> None:
+        if self.running >= self.slots:
+            self._model.queued()
+            self._queue.append(run)
+        else:
+            self._start(run)
+
+    def cancel(self, run: _Run) -> None:
+        run.cancelled = True
+        self._model.after(CANCEL_S, lambda: self._end(run))
+
+    def _start(self, run: _Run) -> None:
+        self.running += 1
+        self.long_running += run.is_long
+        if run.is_long and self.long_running > self.long_slots:
+            self._model.queued()
+        run.started = True
+        self._model.start_in(self.region, 1)
+        self._model.after(
+            run.duration_s * self.slow,
+            lambda: None if run.cancelled else self._end(run),
+        )
+
+    def _end(self, run: _Run) -> None:
+        self.running -= 1
+        self.long_running -= run.is_long
+        self._model.start_in(self.region, -1)
+        if self._queue:
+            self._start(self._queue.pop(0))
+        run.done()
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _Request:
+    service: str
+    request_class: RequestClass
+    is_long: bool
+    born: float
+    deadline: float
+    counted: bool
+    attempts: list = dataclasses.field(default_factory=list)
+    ended: bool = False
+
+
+class Model:
+    """One run of one deployment; `naive` replaces all decisions."""
+
+    def __init__(
+        self, spec: Spec, load: Load, seed: int, *, naive: bool
+    ) -> None:
+        self._spec = spec
+        self._load = load
+        self._naive = naive
+        self._clock = ManualClock()
+        self._rng = random.Random(seed)
+        self._choice_rng = random.Random(seed + 1)
+        self._events: list = []
+        self._order = itertools.count()
+        self._start = self._clock.monotonic()
+        self.tally = Tally()
+        self._region_running: dict[str, int] = {}
+        self._region_cap: dict[str, int] = {}
+        self._build()
+
+    def run(self) -> Tally:
+        """Run to the end of the load and of all requests."""
+        load = self._load
+        until = self._start + load.warm_s + load.seconds
+        for node in self._nodes:
+            node.arrive(until)
+        if not self._naive:
+            self._tick(until + 12.0)
+        while self._events:
+            at, _, call = heapq.heappop(self._events)
+            self._clock.advance(at - self._clock.monotonic())
+            call()
+        for node in self._nodes:
+            allowed = 10 + 0.1 * node.firsts
+            self.tally.hedges += node.hedges
+            self.tally.over_cap += max(0, int(node.hedges - allowed))
+        return self.tally
+
+    def after(self, seconds: float, call: Callable[[], None]) -> None:
+        """Schedule a call."""
+        at = self._clock.monotonic() + seconds
+        heapq.heappush(self._events, (at, next(self._order), call))
+
+    def queued(self) -> None:
+        """Count a request over a server's slots or long slots.
+
+        The naive system has no such limit; its servers queue.
+        """
+        if self._naive:
+            self.tally.queued_at_server += 1
+        else:
+            self.tally.over_cap += 1
+
+    def start_in(self, region: str, change: int) -> None:
+        """Count requests that run in a region."""
+        self._region_running[region] += change
+        cap = self._region_cap[region]
+        if not self._naive and cap and self._region_running[region] > cap:
+            self.tally.over_cap += 1
+
+    def _build(self) -> None:
+        spec, load = self._spec, self._load
+        self.servers = {
+            s.name: _Server(self, s, s.region) for s in servers(spec)
+        }
+        self._by_region: dict[tuple[str, str], list[str]] = {}
+        zone_slots: dict[tuple[str, str], int] = {}
+        for s in servers(spec):
+            key = (s.region, s.service.name)
+            self._by_region.setdefault(key, []).append(s.name)
+            place = (s.zone, s.service.name)
+            zone_slots[place] = zone_slots.get(place, 0) + s.service.slots
+        for region in spec.regions:
+            slots = sum(
+                s.slots for s in self.servers.values() if s.region == region
+            )
+            self._region_running[region] = 0
+            self._region_cap[region] = int(slots * load.region_cap_share)
+        for service in spec.services:
+            names = sorted(
+                n for n in self.servers if n.startswith(service.name)
+            )
+            for name in self._rng.sample(names, load.slowed):
+                self.servers[name].slow = load.slow_factor
+        ticket = read_ticket(first_ticket(spec).encode())
+        state = apply_ticket(empty_state(), ticket)
+        regions = {
+            n: type(r)(name=r.name, in_flight_max=self._region_cap[n])
+            for n, r in state.of(_region_type(ticket)).items()
+        }
+        self.state = dataclasses.replace(
+            state, objects={**state.objects, "region": regions}
+        )
+        self._nodes = []
+        for index, (zone, _) in enumerate(spec.zones()):
+            count = spec.instances_by_zone[index]
+            members = [i for i in instances(spec) if i.zone == zone]
+            for number, info in enumerate(members):
+                rates = {
+                    s.name: load.level
+                    * zone_slots.get((zone, s.name), 0)
+                    / load.mean_s()
+                    / count
+                    for s in spec.services
+                }
+                self._nodes.append(
+                    _Node(self, info, number, count, rates, self._naive)
+                )
+        self.by_name = {n.info.name: n for n in self._nodes}
+
+    def _tick(self, until: float) -> None:
+        now = self._clock.monotonic()
+        rooms = {n.info.name: n.admission.room() for n in self._nodes}
+        zones = {}
+        for zone, region in self._spec.zones():
+            known = tuple(
+                EntryAddresses(
+                    instance=InstanceId(n.info.name),
+                    lookup=n.info.name,
+                    entry=n.info.name,
+                    forward=n.info.name,
+                    room=rooms[n.info.name],
+                    measured_at=now,
+                )
+                for n in self._nodes
+                if n.info.zone == zone
+            )
+            zones[zone] = ZoneView(
+                zone=zone,
+                region=region,
+                instances=known,
+                room={},
+                measured_at=now,
+            )
+        for node in self._nodes:
+            node.publish(zones, now)
+        if now < until:
+            self.after(TICK_S, lambda: self._tick(until))
+
+
+def _region_type(ticket) -> type:
+    return type(ticket.region[0])
+
+
+class _Node:
+    """An instance: arrivals and the request path."""
+
+    def __init__(self, model, info, number, count, rates, naive) -> None:
+        self._model = model
+        self.info = info
+        self._rates = rates
+        self._naive = naive
+        self._clock = model._clock
+        self._rng = random.Random(model._rng.random())
+        self._choice_rng = random.Random(model._choice_rng.random())
+        self.admission = Admission(
+            zone=info.zone, clock=self._clock, rng=self._choice_rng
+        )
+        self._seats = tuple(
+            HeldSeat(index=i, short_from=0.0, long_from=0.0)
+            for i in range(SEATS)
+            if i % count == number
+        )
+        self._budget = RetryBudget()
+        self._snapshot: Snapshot | None = None
+        self.firsts = 0
+        self.hedges = 0
+
+    def publish(self, zones, now: float) -> None:
+        self._snapshot = Snapshot(
+            state=self._model.state,
+            published_at=now,
+            zones=zones,
+            seats=self._seats,
+            confirmed=True,
+            leaving=False,
+            leaving_servers=frozenset(),
+        )
+        self.admission.update(self._snapshot)
+
+    def arrive(self, until: float) -> None:
+        """Schedule arrivals; both systems draw the same ones."""
+        load = self._model._load
+        for service, rate in self._rates.items():
+            if rate <= 0:
+                continue
+            at = self._clock.monotonic()
+            while (at := at + self._rng.expovariate(rate)) < until:
+                request = self._draw(service, at, load)
+                duration = SHORT_S * (LONG_FACTOR if request.is_long else 1.0)
+                duration *= self._rng.lognormvariate(-(SIGMA**2) / 2, SIGMA)
+                self._model.after(
+                    at - self._clock.monotonic(),
+                    lambda r=request, d=duration: self._accept(r, d),
+                )
+
+    def _draw(self, service: str, at: float, load: Load) -> _Request:
+        classes = self._model.state.of(Service)[service].classes
+        read, long_read, write = classes
+        is_long = self._rng.random() < load.long_share
+        is_write = self._rng.random() < load.write_share
+        if is_long:
+            chosen = read if load.hidden else long_read
+        else:
+            chosen = write if is_write else read
+        limit_s = chosen.deadline_ms / 1000.0
+        if load.deadline_s is not None and not is_long:
+            limit_s = min(limit_s, load.deadline_s)
+        return _Request(
+            service=service,
+            request_class=chosen,
+            is_long=is_long,
+            born=at,
+            deadline=at + limit_s,
+            counted=at >= self._model._start + load.warm_s,
+        )
+
+    def _accept(self, request: _Request, duration: float) -> None:
+        tally = self._model.tally
+        if request.counted:
+            tally.offered += 1
+            tally.long_offered += request.is_long
+        self.firsts += 1
+        if self._naive:
+            self._run_naive(request, duration)
+        else:
+            self._budget.deposit()
+            steps = self._place(request, duration)
+            self._go_on(steps)
+
+    def _run_naive(self, request: _Request, duration: float) -> None:
+        model = self._model
+        name = self._choice_rng.choice(
+            model._by_region[self.info.region, request.service]
+        )
+        model.servers[name].add(
+            _Run(
+                duration_s=duration,
+                is_long=request.is_long,
+                done=lambda: self._finish(request),
+            )
+        )
+
+    def _go_on(self, steps: Iterator[float]) -> None:
+        """Run a placement, which yields the times it takes."""
+        delay = next(steps, None)
+        if delay is not None:
+            self._model.after(delay, lambda: self._go_on(steps))
+
+    def _place(self, request: _Request, duration: float) -> Iterator[float]:
+        """Try own servers, then other instances, then wait here."""
+        work = self._work(request)
+        try:
+            self._send(
+                request, self.admission.try_acquire(work), duration, hedge=True
+            )
+            return
+        except ChiverunError:
+            pass
+        spec = self._model._spec
+        for target in overflow_targets(
+            self._snapshot,
+            InstanceId(self.info.name),
+            self.info.zone,
+            request.service,
+            self._clock.monotonic(),
+        ):
+            is_far = target.region != self.info.region
+            one_way = (spec.region_ms if is_far else spec.zone_ms) / 1000.0
+            yield one_way
+            peer = self._model.by_name[target.addresses.instance]
+            try:
+                grant = peer.admission.try_acquire(work)
+            except ChiverunError:
+                yield one_way
+                continue
+            peer._send(request, grant, duration, back_s=one_way)
+            return
+        self._wait(request, work, duration)
+
+    def _wait(self, request: _Request, work: Work, duration: float) -> None:
+        waiter = None
+
+        def woken() -> None:
+            self._model.after(0.0, finished)
+
+        def finished() -> None:
+            self.admission.withdraw(waiter)
+            if waiter.grant is not None:
+                self._send(request, waiter.grant, duration, hedge=True)
+            else:
+                self._refuse(request)
+
+        def late() -> None:
+            if waiter.grant is None and waiter.error is None:
+                finished()
+
+        try:
+            waiter = self.admission.enqueue(work, woken)
+        except ChiverunError:
+            self._refuse(request)
+            return
+        left = waiter.latest_start - self._clock.monotonic()
+        self._model.after(max(0.0, left), late)
+
+    def _work(self, request: _Request) -> Work:
+        return Work(
+            service=request.service,
+            request_class=request.request_class,
+            source_region=self.info.region,
+            deadline=request.deadline,
+        )
+
+    def _send(
+        self,
+        request: _Request,
+        grant: Grant,
+        duration: float,
+        *,
+        hedge: bool = False,
+        back_s: float = 0.0,
+    ) -> None:
+        model = self._model
+        server = model.servers[grant.server.name]
+        attempt = (self, grant, server)
+
+        def done() -> None:
+            if run.cancelled:
+                self.admission.release(grant, _CUT, cancelled=True, ended=True)
+                return
+            self.admission.release(grant, _OK)
+            for _, _, other, other_run in request.attempts:
+                if other_run is not run and not other_run.cancelled:
+                    other.cancel(other_run)
+            model.after(back_s, lambda: self._finish(request))
+
+        run = _Run(
+            duration_s=duration,
+            is_long=request.request_class.length is Length.LONG,
+            done=done,
+        )
+        request.attempts.append((*attempt, run))
+        server.add(run)
+        if hedge:
+            self._plan(request, grant, duration)
+
+    def _plan(self, request: _Request, grant: Grant, duration: float) -> None:
+        plan = plan_hedge(
+            repeatable=request.request_class.repeatable,
+            attempts_left=request.request_class.attempts,
+            delay_s=self.admission.hedge_delay_s(grant.work),
+            left_s=request.deadline - self._clock.monotonic(),
+        )
+        if plan is None:
+            return
+
+        def hedge() -> None:
+            if request.ended or not self._budget.withdraw():
+                return
+            try:
+                second = self.admission.try_acquire(
+                    grant.work, frozenset({grant.server.name})
+                )
+            except ChiverunError:
+                self._budget.refund()
+                return
+            self.hedges += 1
+            self._send(request, second, duration)
+
+        self._model.after(plan.delay_s, hedge)
+
+    def _finish(self, request: _Request) -> None:
+        if request.ended:
+            return
+        request.ended = True
+        if not request.counted:
+            return
+        tally = self._model.tally
+        now = self._clock.monotonic()
+        in_time = now <= request.deadline
+        tally.in_time += in_time
+        if request.is_long:
+            tally.long_in_time += in_time
+            return
+        took_us = max(1, int((now - request.born) * 1e6))
+        tally.short_us.record_value(took_us)
+        if not request.request_class.repeatable:
+            tally.write_us.record_value(took_us)
+
+    def _refuse(self, request: _Request) -> None:
+        request.ended = True
+        if request.counted:
+            self._model.tally.not_run += 1
--- /dev/null
+++ b/standins/measure_load.py
@@ -0,0 +1,237 @@
+"""Measurements under load against the naive system, interleaved.
+
+Each repetition runs both systems with the same arrivals, in virtual time
+(see `standins.load_model`), for the sizes of both deployments. Medians are
+over the repetitions, ratios are of each pair.
+"""
+
+import gc
+import json
+import random
+import statistics
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import fire
+
+from chiverun.core.admission import Admission
+from chiverun.core.admission import Work
+from chiverun.core.clock import ManualClock
+from chiverun.core.snapshot import HeldSeat
+from chiverun.core.snapshot import Snapshot
+from chiverun.core.state import apply_ticket
+from chiverun.core.state import empty_state
+from chiverun.core.ticket import Region
+from chiverun.core.ticket import RequestClass
+from chiverun.core.ticket import Server
+from chiverun.core.ticket import Service
+from chiverun.core.ticket import Ticket
+from chiverun.core.ticket import Zone
+from standins.deployment import SPECS
+from standins.load_model import Load
+from standins.load_model import Model
+from standins.load_model import SHORT_S
+from standins.load_model import Tally
+
+REPETITIONS = 5
+Result = dict[str, Any]
+
+
+def _pairs(name: str, load: Load, seed: int) -> list[tuple[Tally, Tally]]:
+    """Run both systems in turn; the one that begins alternates."""
+    pairs = []
+    for repetition in range(REPETITIONS):
+        order = [False, True] if repetition % 2 else [True, False]
+        found = {
+            naive: Model(
+                SPECS[name], load, seed + repetition, naive=naive
+            ).run()
+            for naive in order
+        }
+        pairs.append((found[False], found[True]))
+    return pairs
+
+
+def _ms(tally: Tally, quantile: float, *, write: bool = False) -> float:
+    hist = tally.write_us if write else tally.short_us
+    return hist.get_value_at_percentile(quantile) / 1000.0
+
+
+def _row(
+    measure: str, name: str, load: Load, seed: int, *, write: bool = False
+) -> Result:
+    pairs = _pairs(name, load, seed)
+    median = statistics.median
+
+    def both(read) -> tuple[float, float]:
+        return (
+            round(median(read(a) for a, _ in pairs), 3),
+            round(median(read(b) for _, b in pairs), 3),
+        )
+
+    ratios = [
+        _ms(a, 99, write=write) / _ms(b, 99, write=write) for a, b in pairs
+    ]
+    p50 = both(lambda t: _ms(t, 50, write=write))
+    p99 = both(lambda t: _ms(t, 99, write=write))
+    p999 = both(lambda t: _ms(t, 99.9, write=write))
+    not_run = both(lambda t: t.not_run / max(1, t.offered))
+    in_time = both(lambda t: t.in_time / max(1, t.offered))
+    long_in_time = both(lambda t: t.long_in_time / max(1, t.long_offered))
+    return {
+        "measure": measure,
+        "deployment": name,
+        "level": load.level,
+        "long_share": load.long_share,
+        "seed": seed,
+        "repetitions": REPETITIONS,
+        "requests": sum(a.offered for a, _ in pairs),
+        "p50_ms": p50[0],
+        "naive_p50_ms": p50[1],
+        "p99_ms": p99[0],
+        "naive_p99_ms": p99[1],
+        "p999_ms": p999[0],
+        "naive_p999_ms": p999[1],
+        "p99_ratio": round(median(ratios), 3),
+        "p99_ratio_worst": round(max(ratios), 3),
+        "not_run_share": not_run[0],
+        "in_time_share": in_time[0],
+        "naive_in_time_share": in_time[1],
+        "long_in_time_share": long_in_time[0],
+        "naive_long_in_time_share": long_in_time[1],
+        "hedges": sum(a.hedges for a, _ in pairs),
+        "over_cap": sum(a.over_cap for a, _ in pairs),
+        "naive_over_slots": sum(b.queued_at_server for _, b in pairs),
+    }
+
+
+def latency(seed: int) -> Iterator[Result]:
+    """Short requests at ordinary load, and the cost of one grant."""
+    for name in SPECS:
+        yield _row("latency", name, Load(level=0.5), seed)
+    for servers in (2, 20, 200):
+        yield _grant_cost(servers, seed)
+
+
+def blocking(seed: int) -> Iterator[Result]:
+    """Short requests while 10% are long ones, 50 times as long."""
+    for name in SPECS:
+        for level in (0.25, 0.5, 0.7):
+            load = Load(level=level, long_share=0.1, seconds=16.0)
+            yield _row("blocking", name, load, seed)
+    for name in SPECS:
+        load = Load(level=0.5, long_share=0.1, seconds=16.0, hidden=True)
+        yield _row("blocking-hidden", name, load, seed, write=True)
+
+
+def tail(seed: int) -> Iterator[Result]:
+    """Short requests while 2 servers of each service are slowed tenfold."""
+    for name in SPECS:
+        for level in (0.08, 0.3, 0.5):
+            yield _row("tail", name, Load(level=level, slowed=2), seed)
+
+
+def overload(seed: int) -> Iterator[Result]:
+    """Goodput at 1.5 times capacity, deadline 10 times the mean time."""
+    for name in SPECS:
+        for share in (0.0, 0.75):
+            load = Load(
+                level=1.5,
+                deadline_s=10.0 * SHORT_S,
+                region_cap_share=share,
+            )
+            row = _row("overload", name, load, seed)
+            capacity = 1.0 / load.level * (share or 1.0)
+            row["region_cap_share"] = share
+            row["goodput_of_capacity"] = round(
+                row["in_time_share"] / capacity, 3
+            )
+            row["naive_goodput_of_capacity"] = round(
+                row["naive_in_time_share"] / (1.0 / load.level), 3
+            )
+            yield row
+
+
+def _grant_cost(count: int, seed: int) -> Result:
+    """Time grants in a zone of `count` servers, half of the slots used."""
+    clock = ManualClock()
+    admission = Admission(zone="z", clock=clock, rng=random.Random(seed))
+    admission.update(_one_zone(count))
+    rng = random.Random(seed)
+    work = Work(
+        service="desk",
+        request_class=RequestClass(name="read", methods=("GET",)),
+        source_region="r",
+        deadline=clock.monotonic() + 10.0,
+    )
+    held = []
+    times = []
+    gc.collect()
+    for _ in range(5000):
+        before = time.perf_counter()
+        grant = admission.try_acquire(work)
+        times.append(time.perf_counter() - before)
+        held.append(grant)
+        if len(held) > count * 4:
+            place = rng.randrange(len(held))
+            admission.cancel(held.pop(place))
+        clock.advance(0.0001)
+    times.sort()
+    return {
+        "measure": "grant-cost",
+        "servers": count,
+        "seed": seed,
+        "grants": len(times),
+        "median_us": round(times[len(times) // 2] * 1e6, 1),
+        "p99_us": round(times[int(len(times) * 0.99)] * 1e6, 1),
+    }
+
+
+def _one_zone(count: int) -> Snapshot:
+    servers = tuple(
+        Server(
+            name=f"s{number}",
+            service="desk",
+            zone="z",
+            address="127.0.0.1:8080",
+            slots=8,
+        )
+        for number in range(count)
+    )
+    ticket = Ticket(
+        number=1,
+        reason="measure",
+        author="measure",
+        region=(Region(name="r"),),
+        zone=(Zone(name="z", region="r", seats=4),),
+        service=(Service(name="desk", classes=()),),
+        server=servers,
+    )
+    return Snapshot(
+        state=apply_ticket(empty_state(), ticket),
+        published_at=ManualClock().monotonic(),
+        zones={},
+        seats=tuple(
+            HeldSeat(index=i, short_from=0.0, long_from=0.0) for i in range(4)
+        ),
+        confirmed=True,
+        leaving=False,
+        leaving_servers=frozenset(),
+    )
+
+
+def main(name: str, seed: int = 1) -> None:
+    """Print the results of one measurement as JSON lines."""
+    measures = {
+        "latency": latency,
+        "blocking": blocking,
+        "tail": tail,
+        "overload": overload,
+    }
+    for result in measures[name](seed):
+        print(json.dumps(result), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
