Check responses before their connection is kept, under one deadline

Cause: urllib3's pool takes a connection back when a body has been read, before its request id is compared, so a connection with a foreign response was used again. Time-outs held for each read alone, so a server that sends a byte at a time was waited for beyond the deadline. A body without a length, a malformed length, a status below 200 and bytes after the body were accepted, and a response without a request id on a kept connection was taken as the request's own; a stray shed response then proved "not run" for a request that may have run.

Change: connections are kept here and returned only after all checks. Each read and write gets the time left of the exchange. The end of a response must be declared. Only the first response of a connection may lack the request id. Peers get an id for each hop in X-Chiverun-Exchange. The backend stand-in returns the request id on shed responses too.

Conclusion: the listed failures end as UNKNOWN and close their connection. Backend servers must return X-Request-Id; the price of not doing so is an unknown outcome on kept connections.

--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -1,18 +1,21 @@
-"""HTTP exchanges with backend servers and peers, by urllib3.
+"""HTTP exchanges with backend servers and peers, by urllib3 connections.
 
-The library's retries and redirects are off: whether a request may be sent
-again is decided by `runtime.entry` from the typed end of the exchange.
+Nothing is retried or redirected here: whether a request may be sent again is
+decided by `runtime.entry` from the typed end of the exchange. Connections are
+kept here and not by urllib3's pool, which takes a connection back as soon as
+a body is read, before its length and request id have been compared.
 """
 
 import dataclasses
+import http.client
+import io
+import socket
 import threading
 from collections.abc import Mapping
 
 import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
 from urllib3.exceptions import ReadTimeoutError
 
 from chiverun.core.clock import Clock
@@ -36,6 +39,9 @@
 
 _CHUNK_BYTES = 65536
 _CONNECT_TIMEOUT_S = 1.0
+# Sent to a peer and returned by it with its response, whatever happened.
+EXCHANGE_HEADER = "X-Chiverun-Exchange"
+_FAILURES = (HTTPError, http.client.HTTPException, OSError, ValueError)
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -70,27 +76,110 @@
     to_peer: bool = False
 
 
-class _Handed(threading.local):
-    """Whether the current thread handed request bytes to a socket."""
+class _Reader(io.BufferedReader):
+    """Notes at its end whether bytes after the response had arrived."""
 
-    value = False
+    excess = False
 
+    def __init__(self, sock: "_Socket") -> None:
+        super().__init__(socket.SocketIO(sock, "r"))
+        self._owner = sock
 
-_handed = _Handed()
+    def close(self) -> None:
+        if not self.closed:
+            self._owner.is_ended = True
+            try:
+                self.excess = bool(self.peek(1))
+            except (OSError, ValueError):
+                self.excess = False
+        super().close()
+
+
+class _Socket(socket.socket):
+    """A socket whose operations share the deadline of one exchange.
+
+    A time-out for each operation alone lets a server that sends a byte at a
+    time hold a request without end.
+    """
+
+    clock: Clock
+    deadline = 0.0
+    reader: _Reader
+    is_ended = False
+
+    def begin(self, deadline: float) -> None:
+        """Start an exchange that ends by `deadline` (monotonic seconds)."""
+        self.deadline = deadline
+        self.is_ended = False
+
+    def limit(self) -> None:
+        """Set the time that is left; raises TimeoutError if none is."""
+        if self.is_ended:
+            self.settimeout(0.0)
+            return
+        left = self.deadline - self.clock.monotonic()
+        if left <= 0:
+            raise TimeoutError("deadline passed")
+        self.settimeout(left)
+
+    def recv_into(self, *args, **kwargs) -> int:
+        self.limit()
+        return super().recv_into(*args, **kwargs)
+
+    def sendall(self, *args, **kwargs) -> None:
+        self.limit()
+        super().sendall(*args, **kwargs)
+
+    def makefile(self, *_args, **_kwargs) -> _Reader:
+        """Return a reader of one response."""
+        self._io_refs += 1
+        self.reader = _Reader(self)
+        return self.reader
+
+    def end(self) -> bool:
+        """End an exchange; tell whether bytes followed its response."""
+        self.reader.close()
+        return self.reader.excess
 
 
 class _Connection(HTTPConnection):
-    """Notes when the first byte of a request is handed to the socket."""
+    """A connection to one address, used by one exchange at a time."""
+
+    def __init__(self, host: str, port: int, *, clock: Clock) -> None:
+        super().__init__(host, port)
+        self._clock = clock
+        self._deadline = 0.0
+        self.exchanges = 0
+        self.handed = False
+        self.socket: _Socket | None = None
+
+    def begin(self, deadline: float) -> None:
+        """Prepare for an exchange that ends by `deadline`."""
+        self._deadline = deadline
+        self.handed = False
+        left = deadline - self._clock.monotonic()
+        self.timeout = max(0.001, min(left, _CONNECT_TIMEOUT_S))
+        if self.socket is not None:
+            self.socket.begin(deadline)
 
     def send(self, data) -> None:
         if self.sock is None:
+            if self.handed:
+                # A new connection would get the rest of a request.
+                raise OSError("connection closed while sending")
             self.connect()
-        _handed.value = True
+        self.socket.limit()
+        self.handed = True
         super().send(data)
 
-
-class _Pool(urllib3.HTTPConnectionPool):
-    ConnectionCls = _Connection
+    def _new_conn(self) -> _Socket:
+        plain = super()._new_conn()
+        self.socket = _Socket(
+            plain.family, plain.type, plain.proto, fileno=plain.detach()
+        )
+        self.socket.clock = self._clock
+        self.socket.begin(self._deadline)
+        return self.socket
 
 
 class HttpBackends:
@@ -103,99 +192,138 @@
         self._addresses = addresses
         self._connections = connections
         self._lock = threading.Lock()
-        self._pools: dict[Address, _Pool] = {}
+        self._idle: dict[Address, list[_Connection]] = {}
 
     def exchange(self, address: Address, req: Outgoing) -> ExchangeEnd:
         """Send a request once and read its complete response."""
-        left = req.deadline - self._clock.monotonic()
-        if left <= 0:
+        if req.deadline <= self._clock.monotonic():
             return NotSent(detail="deadline passed before sending")
-        _handed.value = False
-        pool = self._pool(address, req.fresh_connection)
+        conn = self._connection(address, req.fresh_connection)
+        conn.begin(req.deadline)
+        end: ExchangeEnd | None = None
         try:
-            resp = pool.urlopen(
-                req.method,
-                req.path,
-                body=req.body or None,
-                headers=dict(req.headers),
-                retries=False,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-                assert_same_host=False,
-                timeout=urllib3.Timeout(
-                    connect=min(left, _CONNECT_TIMEOUT_S), read=left
-                ),
-            )
-        except (HTTPError, OSError, ValueError) as exc:
-            return _failed(exc)
+            end = _send(conn, req) or _receive(conn, req)
+            conn.exchanges += 1
         finally:
-            if req.fresh_connection:
-                pool.close()
-        return self._read(resp, req)
+            is_clean = isinstance(
+                end, Answered | Shed | PeerRefused | PeerUnknown
+            )
+            if is_clean and conn.sock and not req.fresh_connection:
+                self._keep(address, conn)
+            else:
+                conn.close()
+        return end
 
     def close(self) -> None:
         """Close idle connections."""
         with self._lock:
-            for pool in self._pools.values():
-                pool.close()
-
-    def _pool(self, address: Address, fresh: bool) -> _Pool:
+            idle = [conn for conns in self._idle.values() for conn in conns]
+            self._idle.clear()
+        for conn in idle:
+            conn.close()
+
+    def _connection(self, address: Address, fresh: bool) -> _Connection:
+        while not fresh:
+            with self._lock:
+                idle = self._idle.get(address)
+                conn = idle.pop() if idle else None
+            if conn is None:
+                break
+            # Readable means closed by the server, or an unasked response.
+            if conn.is_connected:
+                return conn
+            conn.close()
         host, port = split_address(self._addresses.translate(address))
-        if fresh:
-            return _Pool(host, port, maxsize=1, retries=False)
+        return _Connection(host, port, clock=self._clock)
+
+    def _keep(self, address: Address, conn: _Connection) -> None:
         with self._lock:
-            pool = self._pools.get(address)
-            if pool is None:
-                pool = _Pool(
-                    host, port, maxsize=self._connections, retries=False
-                )
-                self._pools[address] = pool
-            return pool
-
-    def _read(
-        self, resp: urllib3.BaseHTTPResponse, req: Outgoing
-    ) -> ExchangeEnd:
-        """Read a response; close its connection unless all is well."""
-        end: ExchangeEnd | None = None
-        try:
-            end = _contradiction(resp) or self._read_body(resp, req)
-        except ReadTimeoutError:
-            end = TimedOut()
-        except (HTTPError, OSError, ValueError) as exc:
-            end = Incomplete(detail=str(exc))
-        finally:
-            if isinstance(end, Answered | Shed | PeerRefused | PeerUnknown):
-                resp.release_conn()
-            else:
-                resp.close()
-        return end
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < self._connections:
+                idle.append(conn)
+                return
+        conn.close()
+
+
+def _send(conn: _Connection, req: Outgoing) -> ExchangeEnd | None:
+    """Send a request; return how the exchange ended if that failed."""
+    headers = dict(req.headers)
+    if req.to_peer:
+        headers[EXCHANGE_HEADER] = req.request_id
+    try:
+        conn.request(
+            req.method,
+            req.path,
+            body=req.body or None,
+            headers=headers,
+            preload_content=False,
+            decode_content=False,
+        )
+    except _FAILURES as exc:
+        return _failed(exc, conn.handed)
+    return None
+
 
-    def _read_body(
-        self, resp: urllib3.BaseHTTPResponse, req: Outgoing
-    ) -> ExchangeEnd:
-        chunks = []
-        size = 0
-        while chunk := resp.read(_CHUNK_BYTES):
-            size += len(chunk)
-            if size > req.answer_bytes_max:
-                return TooLarge(limit=req.answer_bytes_max)
-            if self._clock.monotonic() > req.deadline:
-                return TimedOut()
-            chunks.append(chunk)
-        answered_id = resp.headers.get("X-Request-Id", req.request_id)
-        if answered_id != req.request_id:
-            return Mismatched(request_id=answered_id)
-        body = b"".join(chunks)
-        return _peer_end(resp, body) if req.to_peer else _end(resp, body)
-
-
-def _contradiction(resp: urllib3.BaseHTTPResponse) -> Incomplete | None:
+def _receive(conn: _Connection, req: Outgoing) -> ExchangeEnd:
+    """Read a response and check that it is whole and the request's own."""
+    try:
+        resp = conn.getresponse()
+    except _FAILURES as exc:
+        return _failed(exc, conn.handed)
+    try:
+        fault = _framing_fault(resp, req.method)
+        if fault is not None:
+            return Incomplete(detail=fault)
+        body = _read_body(resp, req.answer_bytes_max)
+        if body is None:
+            return TooLarge(limit=req.answer_bytes_max)
+    except (ReadTimeoutError, TimeoutError):
+        return TimedOut()
+    except _FAILURES as exc:
+        return Incomplete(detail=f"{type(exc).__name__}: {exc}")
+    if conn.socket.end():
+        return Incomplete(detail="bytes after the response")
+    name = EXCHANGE_HEADER if req.to_peer else "X-Request-Id"
+    answered_id = resp.headers.get(name, "")
+    # The first response on a connection cannot be that of an earlier request.
+    is_only = not answered_id and conn.exchanges == 0
+    if answered_id != req.request_id and not is_only:
+        return Mismatched(request_id=answered_id)
+    return _peer_end(resp, body) if req.to_peer else _end(resp, body)
+
+
+def _read_body(resp: urllib3.BaseHTTPResponse, most: int) -> bytes | None:
+    """Return the whole body, None if it is larger than `most` bytes."""
+    chunks = []
+    size = 0
+    while chunk := resp.read(_CHUNK_BYTES):
+        size += len(chunk)
+        if size > most:
+            return None
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _framing_fault(resp: urllib3.BaseHTTPResponse, method: str) -> str | None:
+    """Return why the end of a response cannot be told, None if it can.
+
+    A body that ends with the connection looks whole when it was cut.
+    """
+    if resp.status < 200:
+        return f"status {resp.status} is not final"
+    codings = [v.lower() for v in resp.headers.getlist("Transfer-Encoding")]
     lengths = set(resp.headers.getlist("Content-Length"))
-    if len(lengths) > 1:
-        return Incomplete(detail=f"lengths {sorted(lengths)}")
-    if lengths and "Transfer-Encoding" in resp.headers:
-        return Incomplete(detail="length and transfer coding")
+    if codings and lengths:
+        return "length and transfer coding"
+    if codings:
+        return None if codings == ["chunked"] else f"codings {codings}"
+    if not lengths:
+        has_body = method != "HEAD" and resp.status not in (204, 304)
+        return "no length" if has_body else None
+    if len(lengths) > 1 or not all(
+        v.isascii() and v.isdigit() for v in lengths
+    ):
+        return f"lengths {sorted(lengths)}"
     return None
 
 
@@ -212,7 +340,9 @@
             return _answered(resp, body)
         case Outcome.NOT_RUN.value:
             return PeerRefused(code=_code(resp))
-        case Outcome.UNKNOWN.value if _code(resp) is ResultCode.OK:
+        case Outcome.UNKNOWN.value if (
+            _code(resp) is ResultCode.OK and resp.status >= 500
+        ):
             # A backend server's 5xx response, passed on by the peer.
             return _answered(resp, body)
         case _:
@@ -242,12 +372,11 @@
         return ResultCode.INTERNAL
 
 
-def _failed(exc: Exception) -> ExchangeEnd:
+def _failed(exc: Exception, handed: bool) -> ExchangeEnd:
     """Type a failure that came before the response's headers."""
     detail = f"{type(exc).__name__}: {exc}"
-    connecting = isinstance(exc, NewConnectionError | ConnectTimeoutError)
-    if connecting or not _handed.value:
+    if not handed:
         return NotSent(detail=detail)
-    if isinstance(exc, ReadTimeoutError):
+    if isinstance(exc, ReadTimeoutError | TimeoutError):
         return TimedOut()
     return Reset(detail=detail)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -236,7 +236,10 @@
             }
 
         def _shed(self, reason: str) -> None:
-            self.reply(503, b"", {"X-Shed": reason})
+            request_id = self.headers.get("X-Request-Id", "")
+            self.reply(
+                503, b"", {"X-Shed": reason, "X-Request-Id": request_id}
+            )
 
         def _reset(self) -> None:
             """Close the connection with a reset."""
--- /dev/null
+++ b/tests/integrations/test_backend.py
@@ -0,0 +1,304 @@
+"""Tests of exchanges against servers that break the protocol."""
+
+import socket
+import threading
+import time
+import unittest
+
+from nose2.tools import params
+
+from chiverun.core.clock import SystemClock
+from chiverun.core.errors import Outcome
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import classify
+from chiverun.core.exchange import Incomplete
+from chiverun.core.exchange import Mismatched
+from chiverun.core.exchange import NotSent
+from chiverun.core.exchange import Reset
+from chiverun.core.exchange import Shed
+from chiverun.core.exchange import TimedOut
+from chiverun.core.exchange import TooLarge
+from chiverun.integrations.backend import HttpBackends
+from chiverun.integrations.backend import Outgoing
+from chiverun.integrations.network import AddressMap
+from tests.naive import IS_NAIVE
+from tests.naive import NaiveBackends
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+_ID = b"X-Request-Id: %(id)s\r\n"
+_WHOLE = _OK + _ID + b"Content-Length: 2\r\n\r\nok"
+_RESET = "reset"
+_HOLD = "hold"
+_DRIP = "drip"
+
+
+class ScriptedServer:
+    """Answers each connection's requests with the given steps in turn.
+
+    A step is bytes to send, or what to do with the connection. ``%(id)s`` in
+    the bytes stands for the request's id. `seen` counts requests read.
+    """
+
+    def __init__(self, *connections) -> None:
+        self._scripts = list(connections)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        self.seen = 0
+        self.done = threading.Event()
+        self.ended = threading.Event()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """End all connections."""
+        self.done.set()
+        self._listener.close()
+
+    def _accept(self) -> None:
+        for script in self._scripts:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(conn, script), daemon=True
+            ).start()
+
+    def _serve(self, conn: socket.socket, script) -> None:
+        self._run(conn, script)
+        self.ended.set()
+
+    def _run(self, conn: socket.socket, script) -> None:
+        with conn, conn.makefile("rb") as stream:
+            for step in script:
+                request_id = _read_request(stream)
+                if request_id is None:
+                    return
+                self.seen += 1
+                if step == _RESET:
+                    conn.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, b"\1" + b"\0" * 7
+                    )
+                    return
+                if step == _HOLD:
+                    self.done.wait(30)
+                    return
+                if step == _DRIP:
+                    self._drip(conn)
+                    return
+                conn.sendall(step.replace(b"%(id)s", request_id))
+
+    def _drip(self, conn: socket.socket) -> None:
+        """Send a byte at a time, for longer than any deadline here."""
+        conn.sendall(_OK + b"Content-Length: 1000\r\n\r\n")
+        for _ in range(100):
+            try:
+                conn.sendall(b"x")
+            except OSError:
+                return
+            if self.done.wait(0.05):
+                return
+
+
+def _read_request(stream) -> bytes | None:
+    request_id = b""
+    length = 0
+    while (line := stream.readline()) not in (b"\r\n", b""):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"x-request-id":
+            request_id = value.strip()
+        if name.lower() == b"content-length":
+            length = int(value)
+    if line == b"":
+        return None
+    stream.read(length)
+    return request_id
+
+
+class BackendTest(unittest.TestCase):
+    def setUp(self):
+        kind = NaiveBackends if IS_NAIVE else HttpBackends
+        self.backends = kind(
+            clock=SystemClock(),
+            addresses=AddressMap(mapping={}),
+            connections=4,
+        )
+        self.addCleanup(self.backends.close)
+
+    def _server(self, *scripts) -> ScriptedServer:
+        server = ScriptedServer(*scripts)
+        self.addCleanup(server.close)
+        return server
+
+    def _exchange(self, address, number=1, **changes):
+        fields = {
+            "method": "GET",
+            "path": f"/{number}",
+            "headers": {"X-Request-Id": f"id-{number}"},
+            "body": b"",
+            "request_id": f"id-{number}",
+            "deadline": time.monotonic() + 0.4,
+            "answer_bytes_max": 100,
+            "fresh_connection": False,
+        }
+        return self.backends.exchange(address, Outgoing(**fields | changes))
+
+    @params(
+        ("whole", _WHOLE, Answered),
+        ("reset after running", _RESET, Reset),
+        ("closed without response", b"", Reset),
+        ("garbage", b"\x00\xff garbage\r\n\r\n", Reset),
+        ("late", _HOLD, TimedOut),
+        ("dripping", _DRIP, TimedOut),
+        ("short", _OK + _ID + b"Content-Length: 5\r\n\r\nok", Incomplete),
+        ("excess", _WHOLE + b"more", Incomplete),
+        (
+            "two lengths",
+            _OK + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+            Incomplete | Reset,
+        ),
+        (
+            "length and coding",
+            _OK + b"Content-Length: 2\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            Incomplete,
+        ),
+        ("bad length", _OK + b"Content-Length: +2\r\n\r\nok", Incomplete),
+        ("no length", _OK + _ID + b"\r\ncut or who", Incomplete),
+        (
+            "cut in a chunk",
+            _OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+            Incomplete,
+        ),
+        (
+            "interim status",
+            b"HTTP/1.1 103 Early Hints\r\n\r\n" + _WHOLE,
+            Incomplete,
+        ),
+        (
+            "id of another",
+            _OK + b"X-Request-Id: id-9\r\nContent-Length: 2\r\n\r\nok",
+            Mismatched,
+        ),
+        (
+            "too large",
+            _OK + b"Content-Length: 101\r\n\r\n" + b"x" * 101,
+            TooLarge,
+        ),
+        (
+            "shed without being whole",
+            b"HTTP/1.1 503 No\r\nX-Shed: overload\r\n"
+            b"Content-Length: 9\r\n\r\n",
+            Incomplete,
+        ),
+        (
+            "shed",
+            b"HTTP/1.1 503 No\r\nX-Shed: overload\r\n"
+            b"Content-Length: 0\r\n\r\n",
+            Shed,
+        ),
+    )
+    def test_end(self, _case, step, kind):
+        """Guards against a partial or foreign response taken as whole."""
+        for fresh in (False, True):
+            server = self._server([step])
+            started = time.monotonic()
+            end = self._exchange(server.address, fresh_connection=fresh)
+            self.assertIsInstance(end, kind)
+            self.assertLess(time.monotonic() - started, 2.0)
+            self.assertEqual(1, server.seen)
+            if kind not in (Answered, Shed):
+                self.assertIs(Outcome.UNKNOWN, classify(end).outcome)
+
+    @params(
+        ("id of another", _WHOLE.replace(b"%(id)s", b"id-9")),
+        ("excess", _WHOLE + _WHOLE),
+        ("interim status", b"HTTP/1.1 103 Hints\r\n\r\n" + _WHOLE),
+        ("late", _HOLD),
+        ("short", _OK + _ID + b"Content-Length: 5\r\n\r\nok"),
+    )
+    def test_connection_is_not_used_again(self, _case, step):
+        """Guards against a response that stays behind on a connection."""
+        server = self._server([step, step], [_WHOLE, _WHOLE])
+        self._exchange(server.address)
+        for number in (2, 3):
+            end = self._exchange(server.address, number)
+            self.assertIsInstance(end, Answered)
+            self.assertIn(("X-Request-Id", f"id-{number}"), end.headers)
+
+    def test_late_shed_is_no_proof_for_another_request(self):
+        """Guards against "not run" by a shed meant for an earlier request.
+
+        The stray response has no id and arrives while the connection is in
+        use again.
+        """
+        stray = b"HTTP/1.1 503 No\r\nX-Shed: overload\r\n"
+        stray += b"Content-Length: 0\r\n\r\n"
+        server = self._server([_WHOLE, stray])
+        self.assertIsInstance(self._exchange(server.address), Answered)
+        end = self._exchange(server.address, 2)
+        self.assertIs(Outcome.UNKNOWN, classify(end).outcome)
+
+    def test_kept_connection_closed_while_idle_is_replaced(self):
+        """Guards against an avoidable unknown outcome."""
+        server = self._server([_WHOLE], [_WHOLE])
+        self._exchange(server.address)
+        self.assertTrue(server.ended.wait(10))
+        self.assertIsInstance(self._exchange(server.address, 2), Answered)
+
+    def test_kept_connection_closed_while_writing(self):
+        """Guards against sending a request twice or calling it not run."""
+        server = self._server([_WHOLE, _RESET], [_WHOLE])
+        self._exchange(server.address)
+        body = b"x" * 20_000_000
+        end = self._exchange(
+            server.address, 2, method="POST", body=body, deadline=_in(5)
+        )
+        self.assertIs(Outcome.UNKNOWN, classify(end).outcome)
+        self.assertEqual(2, server.seen)
+
+    def test_request_cut_while_writing_is_not_continued_elsewhere(self):
+        """Guards against the rest of a request on a new connection."""
+        server = self._server([_WHOLE], [_WHOLE])
+        conn = self.backends._connection(server.address, True)
+        conn.begin(_in(1))
+        conn.send(b"POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n")
+        conn.close()
+        with self.assertRaises(OSError):
+            conn.send(b"x" * 100)
+
+    def test_refused_and_past_deadline_are_not_sent(self):
+        """Guards against sending after the deadline."""
+        server = self._server([_WHOLE])
+        end = self._exchange(server.address, deadline=_in(-1))
+        self.assertIsInstance(end, NotSent)
+        self.assertEqual(0, server.seen)
+        server.close()
+        self.assertIsInstance(self._exchange("127.0.0.1:9"), NotSent)
+
+    def test_parallel_exchanges_get_their_own_responses(self):
+        """Guards against crossed responses, with failures in between."""
+        steps = [_WHOLE, _WHOLE.replace(b"%(id)s", b"id-9"), _WHOLE]
+        server = self._server(*[steps for _ in range(400)])
+        wrong = []
+
+        def run(first: int) -> None:
+            for number in range(first, first + 60):
+                end = self._exchange(server.address, number, deadline=_in(5))
+                if isinstance(end, Answered) and (
+                    ("X-Request-Id", f"id-{number}") not in end.headers
+                ):
+                    wrong.append(number)
+
+        threads = [
+            threading.Thread(target=run, args=(n * 100,)) for n in range(1, 7)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([], wrong)
+
+
+def _in(seconds: float) -> float:
+    return time.monotonic() + seconds
