Hedge repeatable requests and bound the threads of long ones

Cause: one slow server held its callers for its whole delay, and long requests could hold all threads of an instance. An error of our own while an exchange ran freed its slot as if nothing had been sent.

Change: runtime/hedging.py runs attempts side by side on a bounded number of threads. A second attempt starts on another server after the class's 95th percentile, within its attempts and the retry budget, only if a slot is free and none waits. The first answer wins; the other exchange is cancelled by closing the sending side of its connection. If the server then closes the connection, its slot is free; after a reset or a time-out it is held until the deadline. Entry and Forward refuse long requests beyond half of their threads as not run.

--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -34,6 +34,7 @@
 from chiverun.core.exchange import TimedOut
 from chiverun.core.exchange import TooLarge
 from chiverun.core.ids import Address
+from chiverun.integrations.cancellation import Cancellation
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.network import split_address
 
@@ -74,6 +75,7 @@
     answer_bytes_max: int
     fresh_connection: bool
     to_peer: bool = False
+    cancellation: Cancellation | None = None
 
 
 class _Reader(io.BufferedReader):
@@ -152,6 +154,7 @@
         self.exchanges = 0
         self.handed = False
         self.socket: _Socket | None = None
+        self.cancellation: Cancellation | None = None
 
     def begin(self, deadline: float) -> None:
         """Prepare for an exchange that ends by `deadline`."""
@@ -169,6 +172,8 @@
                 raise OSError("connection closed while sending")
             self.connect()
         self.socket.limit()
+        if self.cancellation is not None and not self.handed:
+            self.cancellation.attach(self.socket)
         self.handed = True
         super().send(data)
 
@@ -200,6 +205,7 @@
             return NotSent(detail="deadline passed before sending")
         conn = self._connection(address, req.fresh_connection)
         conn.begin(req.deadline)
+        conn.cancellation = req.cancellation
         end: ExchangeEnd | None = None
         try:
             end = _send(conn, req) or _receive(conn, req)
@@ -208,6 +214,8 @@
             is_clean = isinstance(
                 end, Answered | Shed | PeerRefused | PeerUnknown
             )
+            if req.cancellation is not None and req.cancellation.detach():
+                is_clean = False
             if is_clean and conn.sock and not req.fresh_connection:
                 self._keep(address, conn)
             else:
@@ -269,6 +277,9 @@
     try:
         resp = conn.getresponse()
     except _FAILURES as exc:
+        is_closed = isinstance(exc, http.client.RemoteDisconnected)
+        if is_closed and req.cancellation is not None:
+            req.cancellation.note_closed_by_server()
         return _failed(exc, conn.handed)
     try:
         fault = _framing_fault(resp, req.method)
--- /dev/null
+++ b/chiverun/integrations/cancellation.py
@@ -0,0 +1,48 @@
+"""Cancellation of an exchange with a backend server from another thread."""
+
+import socket
+import threading
+
+
+class Cancellation:
+    """Cancels one exchange by closing the sending side of its connection.
+
+    The receiving side stays open, so that the server's own closing of the
+    connection is seen, which tells that the request has ended there.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._sock: socket.socket | None = None
+        self.is_fired = False
+        self.is_ended = False
+
+    def attach(self, sock: socket.socket) -> None:
+        """Name the connection; raises OSError if cancelled already."""
+        with self._lock:
+            if self.is_fired:
+                raise OSError("cancelled before sending")
+            self._sock = sock
+
+    def detach(self) -> bool:
+        """Forget the connection; tell whether it was cancelled."""
+        with self._lock:
+            self._sock = None
+            return self.is_fired
+
+    def fire(self) -> None:
+        """Cancel the exchange, or keep it from being sent."""
+        with self._lock:
+            self.is_fired = True
+            if self._sock is None:
+                return
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                # The server has closed the connection already.
+                pass
+
+    def note_closed_by_server(self) -> None:
+        """Note that the server closed the connection without a response."""
+        with self._lock:
+            self.is_ended = self.is_fired
--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -27,6 +27,7 @@
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
 from chiverun.core.links import HEADER_BYTES
+from chiverun.core.retries import LongThreads
 from chiverun.core.routing import overflow_targets
 from chiverun.core.routing import region_room
 from chiverun.core.routing import region_targets
@@ -48,6 +49,7 @@
 from chiverun.runtime.execution import backend_headers
 from chiverun.runtime.execution import Content
 from chiverun.runtime.execution import epoch_ms
+from chiverun.runtime.execution import HedgeTerms
 from chiverun.runtime.forward import CLASS_HEADER
 from chiverun.runtime.forward import SOURCE_HEADER
 
@@ -104,7 +106,9 @@
         keys: "KeyTable",
         budget: "RetryBudget",
         telemetry: "Telemetry",
+        threads: int,
     ) -> None:
+        self._long_threads = LongThreads(threads=threads)
         self._me = identity
         self._clock = clock
         self._plane = plane
@@ -231,12 +235,23 @@
     # Attempts.
 
     def _run(self, request: _Request) -> StoredResult:
+        """Run a request; long ones may hold only a part of the threads."""
+        if not request.work.is_long:
+            return self._run_placed(request)
+        if not self._long_threads.try_enter():
+            return _result(PeerRefused(code=ResultCode.QUEUE_FULL))
+        try:
+            return self._run_placed(request)
+        finally:
+            self._long_threads.leave()
+
+    def _run_placed(self, request: _Request) -> StoredResult:
         """Place a request until it is answered or may not be tried again."""
         self._budget.deposit()
         progress = _Progress(attempts_left=request.work.request_class.attempts)
         end: ExchangeEnd = PeerRefused(code=ResultCode.NO_CAPACITY)
         while progress.placements_left > 0:
-            attempt = self._place(request, progress.excluded)
+            attempt = self._place(request, progress)
             end = attempt.end
             if not self._may_try_again(attempt, progress, request):
                 break
@@ -248,6 +263,9 @@
         progress.placements_left -= 1
         if attempt.server is not None:
             progress.excluded |= {attempt.server}
+        if attempt.hedge_server is not None:
+            progress.excluded |= {attempt.hedge_server}
+            progress.attempts_left -= 1
         match classify(attempt.end).outcome:
             case Outcome.ANSWERED:
                 return False
@@ -267,26 +285,28 @@
     def _has_time(self, request: _Request) -> bool:
         return self._clock.monotonic() < request.work.deadline
 
-    def _place(
-        self, request: _Request, excluded: frozenset[ServerName]
-    ) -> Attempt:
+    def _place(self, request: _Request, progress: _Progress) -> Attempt:
         """Try the places in order until one takes the request."""
         attempt = Attempt(end=PeerRefused(code=ResultCode.NO_CAPACITY))
-        for attempt in self._placements(request, excluded):
+        for attempt in self._placements(request, progress):
             if not isinstance(attempt.end, PeerRefused):
                 return attempt
         return attempt
 
     def _placements(
-        self, request: _Request, excluded: frozenset[ServerName]
+        self, request: _Request, progress: _Progress
     ) -> Iterator[Attempt]:
         snapshot = self._plane.snapshot
         work = request.work
         now = self._clock.monotonic()
+        excluded = progress.excluded
+        hedge = HedgeTerms(
+            attempts_left=progress.attempts_left, budget=self._budget
+        )
         for target in self._shift_targets(snapshot, work, now):
             yield self._forward(target, request)
         local = self._executor.run(
-            work, request.content, excluded, may_wait=False
+            work, request.content, excluded, may_wait=False, hedge=hedge
         )
         yield local
         for target in overflow_targets(
@@ -294,7 +314,7 @@
         ):
             yield self._forward(target, request)
         yield self._executor.run(
-            work, request.content, excluded, may_wait=True
+            work, request.content, excluded, may_wait=True, hedge=hedge
         )
 
     def _shift_targets(
--- a/chiverun/runtime/execution.py
+++ b/chiverun/runtime/execution.py
@@ -5,12 +5,20 @@
 
 from chiverun.core.errors import ChiverunError
 from chiverun.core.exchange import ExchangeEnd
+from chiverun.core.exchange import Incomplete
 from chiverun.core.exchange import NotSent
 from chiverun.core.exchange import PeerRefused
+from chiverun.core.exchange import Reset
+from chiverun.core.exchange import TimedOut
 from chiverun.core.ids import ServerName
+from chiverun.core.retries import HedgePlan
+from chiverun.core.retries import plan_hedge
 from chiverun.core.ticket import RequestClass
 from chiverun.integrations.backend import HOP_HEADERS
 from chiverun.integrations.backend import Outgoing
+from chiverun.integrations.cancellation import Cancellation
+from chiverun.runtime.hedging import HEDGE_THREADS
+from chiverun.runtime.hedging import HedgeThreads
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -19,8 +27,10 @@
     from chiverun.core.admission import Grant
     from chiverun.core.admission import Work
     from chiverun.core.clock import Clock
+    from chiverun.core.retries import RetryBudget
     from chiverun.integrations.backend import HttpBackends
     from chiverun.integrations.telemetry import Telemetry
+    from chiverun.runtime.hedging import Race
 
 # Headers of the callers' interface that backend servers do not get.
 _OWN_HEADERS = frozenset(
@@ -49,10 +59,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Attempt:
-    """How an attempt ended; `server` is None if none was chosen."""
+    """How an attempt ended; `server` is None if none was chosen.
+
+    `hedge_server` is where a second attempt went meanwhile, if one was made.
+    """
 
     end: ExchangeEnd
     server: ServerName | None = None
+    hedge_server: ServerName | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HedgeTerms:
+    """What a request's other hops leave for a second attempt."""
+
+    attempts_left: int
+    budget: "RetryBudget"
 
 
 class Executor:
@@ -65,7 +87,9 @@
         admission: "Admission",
         backends: "HttpBackends",
         telemetry: "Telemetry",
+        hedge_threads: int = HEDGE_THREADS,
     ) -> None:
+        self._hedges = HedgeThreads(threads=hedge_threads)
         self._clock = clock
         self._admission = admission
         self._backends = backends
@@ -78,8 +102,12 @@
         excluded: frozenset[ServerName],
         *,
         may_wait: bool,
+        hedge: HedgeTerms | None = None,
     ) -> Attempt:
-        """Run a request once; a refusal is an attempt that was not run."""
+        """Run a request once; a refusal is an attempt that was not run.
+
+        With `hedge`, a second attempt on another server may follow.
+        """
         try:
             with self._telemetry.span("admission", service=work.service):
                 grant = (
@@ -91,33 +119,110 @@
             return Attempt(end=PeerRefused(code=exc.code))
         with self._telemetry.span("choice", server=grant.server.name):
             pass
+        plan = self._plan(work, hedge)
+        race = (
+            self._hedges.start(
+                lambda cancellation: self._send(grant, content, cancellation)
+            )
+            if plan is not None
+            else None
+        )
+        if race is None:
+            end = self._send(grant, content, None)
+            return Attempt(end=end, server=grant.server.name)
+        race.wait(plan.delay_s)
+        second = None
+        if not race.has_end() and hedge.budget.withdraw():
+            second = self._hedge(race, grant, content, excluded)
+            if second is None:
+                hedge.budget.refund()
         return Attempt(
-            end=self._send(grant, content), server=grant.server.name
+            end=race.result(),
+            server=grant.server.name,
+            hedge_server=second,
+        )
+
+    def _plan(
+        self, work: "Work", hedge: HedgeTerms | None
+    ) -> HedgePlan | None:
+        if hedge is None:
+            return None
+        return plan_hedge(
+            repeatable=work.request_class.repeatable,
+            attempts_left=hedge.attempts_left,
+            delay_s=self._admission.hedge_delay_s(work),
+            left_s=work.deadline - self._clock.monotonic(),
         )
 
-    def _send(self, grant: "Grant", content: Content) -> ExchangeEnd:
+    def _hedge(
+        self,
+        race: "Race",
+        first: "Grant",
+        content: Content,
+        excluded: frozenset[ServerName],
+    ) -> ServerName | None:
+        """Start a second attempt if a slot is free; never wait for one."""
+        try:
+            grant = self._admission.try_acquire(
+                first.work, excluded | {first.server.name}
+            )
+        except ChiverunError:
+            return None
+        is_started = race.add(
+            lambda cancellation: self._send(grant, content, cancellation)
+        )
+        if not is_started:
+            self._admission.cancel(grant)
+            return None
+        return grant.server.name
+
+    def _send(
+        self,
+        grant: "Grant",
+        content: Content,
+        cancellation: Cancellation | None,
+    ) -> ExchangeEnd:
         # The process may have been paused since the grant was made.
         if not self._admission.confirm(grant):
             self._admission.cancel(grant)
             return NotSent(detail="grant no longer valid")
-        end: ExchangeEnd = NotSent(detail="not started")
+        # An error of our own proves nothing about the request.
+        end: ExchangeEnd = Reset(detail="internal error")
         try:
             with self._telemetry.span("attempt", server=grant.server.name):
                 end = self._backends.exchange(
-                    grant.server.address, self._outgoing(grant, content)
+                    grant.server.address,
+                    self._outgoing(grant, content, cancellation),
                 )
         finally:
-            self._admission.release(grant, end)
+            is_cut = cancellation is not None and cancellation.is_fired
+            self._admission.release(
+                grant,
+                end,
+                cancelled=is_cut and _is_cut_off(end),
+                ended=cancellation is not None and cancellation.is_ended,
+            )
         self._telemetry.attempts.add(1, {"end": type(end).__name__})
         return end
 
-    def _outgoing(self, grant: "Grant", content: Content) -> Outgoing:
+    def _outgoing(
+        self,
+        grant: "Grant",
+        content: Content,
+        cancellation: Cancellation | None,
+    ) -> Outgoing:
         work = grant.work
         headers = backend_headers(content.headers)
         headers["X-Request-Id"] = content.request_id
         headers["X-Deadline-Epoch-Ms"] = epoch_ms(self._clock, work.deadline)
         self._telemetry.inject(headers)
-        return outgoing(content, headers, work.deadline, work.request_class)
+        sent = outgoing(content, headers, work.deadline, work.request_class)
+        return dataclasses.replace(sent, cancellation=cancellation)
+
+
+def _is_cut_off(end: ExchangeEnd) -> bool:
+    """Tell whether a cancellation explains this end."""
+    return isinstance(end, NotSent | Reset | TimedOut | Incomplete)
 
 
 def outgoing(
--- a/chiverun/runtime/forward.py
+++ b/chiverun/runtime/forward.py
@@ -15,9 +15,11 @@
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import classify
 from chiverun.core.exchange import ExchangeEnd
+from chiverun.core.exchange import PeerRefused
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServiceName
 from chiverun.core.links import HEADER_BYTES
+from chiverun.core.retries import LongThreads
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Service
 from chiverun.core.ticket import Zone
@@ -53,7 +55,9 @@
         executor: "Executor",
         links: "Links",
         telemetry: "Telemetry",
+        threads: int,
     ) -> None:
+        self._long_threads = LongThreads(threads=threads)
         self._zone = zone
         self._clock = clock
         self._plane = plane
@@ -117,9 +121,15 @@
         return reply
 
     def _run(self, work: Work, content: Content) -> ExchangeEnd:
-        attempt = self._executor.run(
-            work, content, frozenset(), may_wait=False
-        )
+        if work.is_long and not self._long_threads.try_enter():
+            return PeerRefused(code=ResultCode.QUEUE_FULL)
+        try:
+            attempt = self._executor.run(
+                work, content, frozenset(), may_wait=False
+            )
+        finally:
+            if work.is_long:
+                self._long_threads.leave()
         return attempt.end
 
     def _region(self) -> RegionName:
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -166,6 +166,7 @@
             admission=self._admission,
             backends=self._backends,
             telemetry=self._telemetry,
+            hedge_threads=2 * cfg.entry_threads,
         )
         self._entry = Entry(
             identity=self._identity,
@@ -177,6 +178,7 @@
             keys=self._keys,
             budget=RetryBudget(),
             telemetry=self._telemetry,
+            threads=cfg.entry_threads,
         )
         self._forward = Forward(
             zone=cfg.zone,
@@ -185,6 +187,7 @@
             executor=executor,
             links=self._links,
             telemetry=self._telemetry,
+            threads=cfg.forward_threads,
         )
         public = Public(
             sources=Sources(
--- a/tests/core/test_choice.py
+++ b/tests/core/test_choice.py
@@ -132,6 +132,13 @@
             pending.append((now + (0.1 if is_slow_one else 0.01), grant))
         self.assertLess(counts["real"], 0.1 * counts["naive"])
 
+    def test_the_faster_of_two_is_chosen(self):
+        zone = Zoned(state(server("s1", slots=8), server("s2", slots=8)))
+        row = zone.admission._health["s1"]
+        row.slowness, row.measured_at = 2.5, zone.clock.monotonic()
+        names = [zone.take().server.name for _ in range(8)]
+        self.assertEqual(["s2"] * 8, names)
+
     def test_long_requests_do_not_make_a_server_look_slow(self):
         """Guards against comparing servers by their mix of requests."""
         zone = Zoned(state(server("s1", long_slots=4), server("s2")))
--- /dev/null
+++ b/tests/runtime/test_hedging.py
@@ -0,0 +1,225 @@
+"""Tests of second attempts over real HTTP to stand-in backend servers."""
+
+import threading
+import time
+import unittest
+
+from nose2.tools import params
+
+from chiverun.core.admission import Admission
+from chiverun.core.clock import SystemClock
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import NotSent
+from chiverun.core.exchange import Reset
+from chiverun.core.exchange import Shed
+from chiverun.core.exchange import ShedReason
+from chiverun.core.retries import RetryBudget
+from chiverun.integrations.backend import HttpBackends
+from chiverun.integrations.network import AddressMap
+from chiverun.integrations.telemetry import Telemetry
+from chiverun.runtime.execution import Content
+from chiverun.runtime.execution import Executor
+from chiverun.runtime.execution import HedgeTerms
+from chiverun.runtime.hedging import HedgeThreads
+from standins import backend as standin
+from tests.core.zones import BOOK
+from tests.core.zones import READ
+from tests.core.zones import server
+from tests.core.zones import state
+from tests.core.zones import Zoned
+
+OK = Answered(status=200, headers=(), body=b"")
+BAD = Answered(status=500, headers=(), body=b"")
+RESET = Reset(detail="test")
+SHED = Shed(reason=ShedReason.OVERLOAD)
+
+
+class _Zone(Zoned):
+    """One instance with two real servers, the first of them slow."""
+
+    def __init__(self, slow_s: float = 0.6) -> None:
+        self.backends = {}
+        servers = []
+        for name in ("s1", "s2"):
+            backend = standin.Backend(
+                name=name, zone="dar-a", slots=1, service_ms=10, long_ms=10
+            )
+            backend.faults["cold"] = False
+            web = standin.start(("127.0.0.1", 0), backend)
+            self.backends[name] = backend, web
+            host, port = web.server_address
+            servers.append(
+                server(name, slots=1, long_slots=0, address=f"{host}:{port}")
+            )
+        self.backends["s1"][0].faults["slow"] = slow_s / 0.01
+        super().__init__(state(*servers))
+        self.clock = SystemClock()
+        self.admission = Admission(
+            zone="dar-a", clock=self.clock, rng=_FirstDrawn()
+        )
+        self.publish()
+        self.budget = RetryBudget(start=1.0)
+        self.executor = Executor(
+            clock=self.clock,
+            admission=self.admission,
+            backends=HttpBackends(
+                clock=self.clock,
+                addresses=AddressMap(mapping={}),
+                connections=4,
+            ),
+            telemetry=Telemetry(
+                instance="dar-a-1", zone="dar-a", trace_ratio=0.0
+            ),
+        )
+        # Learnt: the class usually takes 10 ms.
+        for key in (READ, BOOK):
+            grant = self.admission.try_acquire(self.work(key))
+            self.admission.release(grant, OK)
+            times = self.admission._times["desk", key.name]
+            for _ in range(50):
+                times.record(0.01, self.clock.monotonic())
+
+    def run(self, request_class=READ, attempts_left=2, left_s=2.0):
+        """Run one request that is first sent to the slow server."""
+        content = Content(
+            method=request_class.methods[0],
+            path="/read?token=t",
+            headers={},
+            body=b"",
+            request_id="r1",
+        )
+        return self.executor.run(
+            self.work(request_class, left_s=left_s),
+            content,
+            frozenset(),
+            may_wait=False,
+            hedge=HedgeTerms(attempts_left=attempts_left, budget=self.budget),
+        )
+
+    def events(self, name: str) -> list[str]:
+        """Return what happened at a server."""
+        return [e["event"] for e in self.backends[name][0].events]
+
+    def close(self) -> None:
+        for _, web in self.backends.values():
+            web.shutdown()
+            web.server_close()
+
+
+class _FirstDrawn:
+    """Draws the first server and then the second."""
+
+    def __init__(self) -> None:
+        self._draws = [0.0, 0.99]
+
+    def random(self) -> float:
+        self._draws.reverse()
+        return self._draws[1]
+
+
+def _until(condition, seconds: float = 5.0) -> bool:
+    end = time.monotonic() + seconds
+    while not condition() and time.monotonic() < end:
+        time.sleep(0.005)
+    return condition()
+
+
+class HedgingTest(unittest.TestCase):
+    def setUp(self):
+        self.zone = _Zone()
+        self.addCleanup(self.zone.close)
+
+    def test_second_server_answers_and_the_first_is_cancelled(self):
+        """Guards against a caller that waits for one slow server."""
+        started = time.monotonic()
+        attempt = self.zone.run()
+        self.assertLess(time.monotonic() - started, 0.4)
+        self.assertIsInstance(attempt.end, Answered)
+        self.assertEqual(("s1", "s2"), (attempt.server, attempt.hedge_server))
+        self.assertTrue(
+            _until(lambda: self.zone.events("s1") == ["start", "cancel"])
+        )
+        # The server closed the connection, so its slot is free at once.
+        self.assertTrue(_until(lambda: self.zone.admission.in_flight() == 0))
+        self.assertFalse(self.zone.admission.seat_in_use(0))
+        self.assertEqual(2, self.zone.admission.room()["desk"])
+
+    def test_a_server_that_ignores_the_cancellation_keeps_its_slot(self):
+        """Guards against a slot that is reused while the request runs."""
+        backend, _ = self.zone.backends["s1"]
+        held = threading.Event()
+        backend.duration_s = lambda is_long: (held.wait(0.5) and 0.0) or 0.0
+        self.zone.run()
+        time.sleep(0.1)
+        self.assertEqual(1, self.zone.admission.in_flight())
+        self.assertEqual(1, self.zone.admission.room()["desk"])
+        self.assertTrue(_until(lambda: self.zone.admission.in_flight() == 0))
+        self.assertEqual(2, self.zone.admission.room()["desk"])
+
+    def test_a_reset_after_the_cancellation_proves_no_end(self):
+        """Guards against a slot that is reused without proof of its end."""
+        backend, _ = self.zone.backends["s1"]
+        backend.duration_s = lambda is_long: time.sleep(0.2) or 0.0
+        backend.faults["reset_after"] = 1
+        self.zone.run()
+        self.assertTrue(_until(lambda: self.zone.admission.in_flight() == 0))
+        self.assertEqual(1, self.zone.admission.room()["desk"])
+
+    @params(
+        (BOOK, 2, 2.0, 1),
+        (READ, 1, 2.0, 1),
+        (READ, 2, 0.02, 1),
+        (READ, 2, 2.0, 0),
+    )
+    def test_no_hedge(self, request_class, attempts_left, left_s, start):
+        """Never for non-repeatable ones, over attempts or the budget."""
+        self.zone.budget = RetryBudget(start=float(start))
+        attempt = self.zone.run(request_class, attempts_left, left_s)
+        self.assertIsNone(attempt.hedge_server)
+        self.assertEqual([], self.zone.events("s2"))
+        self.assertEqual(bool(start), self.zone.budget.withdraw())
+
+    def test_no_free_slot_gives_the_budget_back(self):
+        other = self.zone.admission.try_acquire(
+            self.zone.work(), frozenset({"s1"})
+        )
+        attempt = self.zone.run()
+        self.assertEqual("s2", other.server.name)
+        self.assertIsInstance(attempt.end, Answered)
+        self.assertIsNone(attempt.hedge_server)
+        self.assertTrue(self.zone.budget.withdraw())
+
+
+class RaceTest(unittest.TestCase):
+    @params(
+        ((RESET, OK), OK),
+        ((SHED, OK), OK),
+        ((SHED, RESET), RESET),
+        ((BAD, SHED), BAD),
+        ((SHED, NotSent(detail="x")), SHED),
+    )
+    def test_the_best_end_counts(self, ends, expected):
+        """Guards against NOT_RUN for a request of which one attempt ran."""
+        gate = threading.Event()
+        threads = HedgeThreads(threads=2)
+        race = threads.start(lambda _: ends[0])
+        race.add(lambda _: gate.wait(5) and ends[1])
+        race.wait(1.0)
+        gate.set()
+        self.assertEqual(expected, race.result())
+
+    def test_threads_are_bounded(self):
+        gate = threading.Event()
+        threads = HedgeThreads(threads=1)
+        race = threads.start(lambda _: gate.wait(5) and OK)
+        self.assertFalse(race.add(lambda _: OK))
+        self.assertIsNone(threads.start(lambda _: OK))
+        gate.set()
+        self.assertEqual(OK, race.result())
+
+    def test_an_error_of_our_own_is_an_unknown_end(self):
+        def fail(_):
+            raise KeyError("test")
+
+        race = HedgeThreads(threads=1).start(fail)
+        self.assertIsInstance(race.result(), Reset)
