Wait in the own zone when that is sooner than another region

Cause: a request that found no free slot in its zone at once went to another region, 70 ms there and back, though a slot of its own zone would have been free within a few ms.

Change: Admission.expected_wait_s; the entry skips targets in other regions while the expected wait is below the detour (REGION_DETOUR_S, two ways of 35 ms).

--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import heapq
+import math
 import random
 import threading
 from collections.abc import Callable
@@ -296,6 +297,21 @@
             self._advance(now)
             self._serve(now)
 
+    def expected_wait_s(self, work: Work) -> float:
+        """Return how long a request would wait here for a slot, in seconds.
+
+        Infinite if no server is in use.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            if not self._is_current(now):
+                return math.inf
+            slots = self._usable_slots(work, now)
+            if slots <= 0:
+                return math.inf
+            queued = self._queues.length(work.key)
+            return self._expected_wait_s(work, queued, slots, now)
+
     def hedge_delay_s(self, work: Work) -> float | None:
         """Return when a second attempt is due; None if nothing is learnt."""
         with self._lock:
--- a/chiverun/core/routing.py
+++ b/chiverun/core/routing.py
@@ -18,6 +18,9 @@
 # An advert older than this says nothing about an instance's free slots.
 ROOM_MAX_AGE_S = 5.0
 TARGETS_MAX = 3
+# Way to another region and back. A request that would get a slot in its own
+# zone sooner waits there.
+REGION_DETOUR_S = 0.07
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -29,6 +29,7 @@
 from chiverun.core.links import HEADER_BYTES
 from chiverun.core.retries import LongThreads
 from chiverun.core.routing import overflow_targets
+from chiverun.core.routing import REGION_DETOUR_S
 from chiverun.core.routing import region_room
 from chiverun.core.routing import region_targets
 from chiverun.core.routing import Target
@@ -312,11 +313,18 @@
         for target in overflow_targets(
             snapshot, self._me.instance, self._me.zone, work.service, now
         ):
+            if self._is_sooner_here(target, work):
+                continue
             yield self._forward(target, request)
         yield self._executor.run(
             work, request.content, excluded, may_wait=True, hedge=hedge
         )
 
+    def _is_sooner_here(self, target: Target, work: Work) -> bool:
+        is_far = target.region != work.source_region
+        wait_s = self._executor.expected_wait_s(work)
+        return is_far and wait_s < REGION_DETOUR_S
+
     def _shift_targets(
         self, snapshot: "Snapshot", work: Work, now: float
     ) -> list[Target]:
