Refuse ambiguous requests and state the outcome of every refusal

Cause: the header reader accepted folded lines, repeated keys and deadlines, signed lengths, a transfer coding in HTTP/1.0 or listed twice; trailers and pipelined bytes were read as a next request. A ChiverunError raised anywhere in a handler was reported as "not run", also after sending; any other error and cheroot's own refusals had no outcome. A request that waited in the socket of a stopped process was run although its caller had closed.

Change: header lines, lengths and codings are checked against the grammar; bytes after a request close the connection unread. Errors of a handler are UNKNOWN with status 500; errors before the handler are NOT_RUN. A caller that has closed its side is not served. The lookup handler states NOT_RUN for its own input errors, and 503 when the key table is full.

Failed try: a check for a closed caller by MSG_DONTWAIT waited for the socket's time-out of 30 s, since Python waits before recv on a socket with a time-out.

Conclusion: no request that two parties can read differently is run, and a fault in the request path no longer claims "not run". A caller that half-closes its connection after sending is refused.

--- a/chiverun/core/exchange.py
+++ b/chiverun/core/exchange.py
@@ -7,6 +7,9 @@
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 
+# Sent to a peer and returned by it with its response, whatever happened.
+EXCHANGE_HEADER = "X-Chiverun-Exchange"
+
 
 class ShedReason(enum.Enum):
     """Why a backend server refused work before running it."""
--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -22,6 +22,7 @@
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
+from chiverun.core.exchange import EXCHANGE_HEADER
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Incomplete
 from chiverun.core.exchange import Mismatched
@@ -39,8 +40,6 @@
 
 _CHUNK_BYTES = 65536
 _CONNECT_TIMEOUT_S = 1.0
-# Sent to a peer and returned by it with its response, whatever happened.
-EXCHANGE_HEADER = "X-Chiverun-Exchange"
 _FAILURES = (HTTPError, http.client.HTTPException, OSError, ValueError)
 HOP_HEADERS = frozenset(
     {
--- a/chiverun/integrations/web.py
+++ b/chiverun/integrations/web.py
@@ -1,27 +1,54 @@
 """Inbound HTTP by cheroot, with strict reading of headers and lengths."""
 
+import contextlib
 import dataclasses
 import http
+import re
+import socket
 import threading
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Any
 
+import logbook
 import msgspec
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 from cheroot import wsgi
+from urllib3.util.wait import wait_for_read
 
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
+from chiverun.core.exchange import EXCHANGE_HEADER
 from chiverun.core.ids import Address
 from chiverun.integrations.network import split_address
 
 BODY_BYTES_MAX = 1024 * 1024
 _HEADER_BYTES_MAX = 16 * 1024
 _IDLE_TIMEOUT_S = 30
+_SOCKET_KEY = "chiverun.socket"
+_HEADER_LINE = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n"
+)
+_TARGET = re.compile(rb"/[\x21-\x7e]*")
+# More digits than a valid length has are refused before they are converted.
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_SINGLE_HEADERS = frozenset(
+    {
+        b"content-length",
+        b"host",
+        b"idempotency-key",
+        b"transfer-encoding",
+        b"x-chiverun-class",
+        b"x-chiverun-exchange",
+        b"x-chiverun-source",
+        b"x-deadline-epoch-ms",
+        b"x-deadline-ms",
+        b"x-request-id",
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -54,6 +81,8 @@
     body: bytes = b""
 
 
+_LOG = logbook.Logger("web")
+_EXCHANGE_KEY = "HTTP_X_CHIVERUN_EXCHANGE"
 Handler = Callable[[Incoming], Reply]
 
 
@@ -89,7 +118,7 @@
 
 
 class _HeaderReader(cheroot_server.HeaderReader):
-    """Refuses malformed or repeated lengths, and one with a transfer coding.
+    """Refuses header lines that two readers may understand differently.
 
     Two parties that disagree on a body's length would take the rest of one
     request for the start of another. Names with an underscore are dropped,
@@ -97,12 +126,14 @@
     """
 
     def __call__(self, rfile, hdict=None):
-        counted = _CountedLines(rfile)
-        headers = super().__call__(counted, hdict)
-        length = headers.get(b"Content-Length", b"0")
-        if counted.lengths > 1 or not length.isdigit():
-            raise ValueError("Repeated or malformed Content-Length.")
-        if counted.lengths and b"Transfer-Encoding" in headers:
+        headers = super().__call__(_CheckedLines(rfile), hdict)
+        length = headers.get(b"Content-Length")
+        coding = headers.get(b"Transfer-Encoding")
+        if length is not None and not _LENGTH.fullmatch(length):
+            raise ValueError("Malformed Content-Length.")
+        if coding is not None and coding != b"chunked":
+            raise ValueError("Transfer-Encoding other than chunked.")
+        if length is not None and coding is not None:
             raise ValueError("Content-Length with Transfer-Encoding.")
         return headers
 
@@ -110,25 +141,85 @@
         return b"_" not in key_name
 
 
-class _CountedLines:
-    """Counts Content-Length lines while they are read."""
+class _CheckedLines:
+    """Raises ValueError for a folded, malformed or repeated header line."""
 
     def __init__(self, rfile) -> None:
         self._rfile = rfile
-        self.lengths = 0
+        self._names: set[bytes] = set()
 
     def readline(self, *args):
         line = self._rfile.readline(*args)
-        if line.lower().startswith(b"content-length"):
-            self.lengths += 1
+        if line in (b"", b"\r\n"):
+            return line
+        if not _HEADER_LINE.fullmatch(line):
+            raise ValueError("Malformed header line.")
+        name = line.partition(b":")[0].lower()
+        if name in _SINGLE_HEADERS and name in self._names:
+            raise ValueError(f"Repeated {name.decode()}.")
+        self._names.add(name)
         return line
 
 
 class _Request(cheroot_server.HTTPRequest):
     header_reader = _HeaderReader()
 
+    def read_request_headers(self) -> bool:
+        if not _TARGET.fullmatch(self.uri):
+            self.simple_response("400 Bad Request", "Malformed target.")
+            return False
+        if not super().read_request_headers():
+            return False
+        if (
+            b"Transfer-Encoding" in self.inheaders
+            and self.response_protocol != "HTTP/1.1"
+        ):
+            # The body would be left on the connection unread.
+            self.simple_response("400 Bad Request", "Transfer-Encoding.")
+            return False
+        return True
+
+    def simple_response(self, status, msg="") -> None:
+        """Answer a request that the application does not answer.
+
+        Until `ready` is set the request has not been handed on; after it,
+        nothing is known here.
+        """
+        if self.sent_headers:
+            return
+        self.sent_headers = True
+        self.close_connection = True
+        text = str(status)
+        if self.ready:
+            outcome, code = Outcome.UNKNOWN, ResultCode.INTERNAL
+        else:
+            outcome, code = Outcome.NOT_RUN, ResultCode.REQUEST_MALFORMED
+        reply = error_reply(int(text[:3]), outcome, code, msg or text)
+        self.status = text.encode("latin-1")
+        self.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in (
+                *reply.headers,
+                ("Content-Length", str(len(reply.body))),
+                ("Connection", "close"),
+            )
+        ]
+        lines = [b"HTTP/1.1 " + self.status]
+        lines += [name + b": " + value for name, value in self.outheaders]
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(
+                b"\r\n".join(lines) + b"\r\n\r\n" + reply.body
+            )
+
     def send_headers(self) -> None:
-        if getattr(self.server, "closes_connections", False):
+        # What follows a request before its response was sent is a pipelined
+        # request or the rest of a body; neither is run.
+        if (
+            getattr(self.server, "closes_connections", False)
+            or (b"Connection", b"close") in self.outheaders
+            or self.chunked_read
+            or self.conn.rfile.has_data()
+        ):
             self.close_connection = True
         super().send_headers()
 
@@ -137,6 +228,15 @@
     RequestHandlerClass = _Request
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Gives the caller's socket to the application."""
+
+    def get_environ(self) -> dict[str, Any]:
+        env = super().get_environ()
+        env[_SOCKET_KEY] = self.req.conn.socket
+        return env
+
+
 class WebServer:
     """One listening address with its own threads."""
 
@@ -154,6 +254,7 @@
             shutdown_timeout=2,
         )
         self._server.ConnectionClass = _Connection
+        self._server.gateway = _Gateway
         self._server.max_request_header_size = _HEADER_BYTES_MAX
         self._server.max_request_body_size = BODY_BYTES_MAX
         self._server.error_log = _no_log
@@ -185,17 +286,38 @@
         self, environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
         try:
-            reply = self._handler(_incoming(environ))
+            req = _incoming(environ)
         except ChiverunError as exc:
+            # The rest of the body may still come on this connection.
             reply = error_reply(400, Outcome.NOT_RUN, exc.code, exc.message)
-        reason = _reason(reply.status)
+            closing = (("Connection", "close"),)
+        else:
+            reply = self._handle(req)
+            closing = ()
+        exchange = environ.get(_EXCHANGE_KEY)
         headers = [
             *reply.headers,
+            *closing,
             ("Content-Length", str(len(reply.body))),
         ]
-        start_response(f"{reply.status} {reason}", headers)
+        if exchange is not None:
+            headers.append((EXCHANGE_HEADER, exchange))
+        start_response(f"{reply.status} {_reason(reply.status)}", headers)
         return [reply.body]
 
+    def _handle(self, req: Incoming) -> Reply:
+        """Run the handler; an error that it lets out proves nothing."""
+        try:
+            return self._handler(req)
+        except Exception as exc:
+            _LOG.exception("request failed")
+            code = (
+                exc.code
+                if isinstance(exc, ChiverunError)
+                else ResultCode.INTERNAL
+            )
+            return error_reply(500, Outcome.UNKNOWN, code, type(exc).__name__)
+
 
 def _incoming(environ: dict[str, Any]) -> Incoming:
     try:
@@ -219,6 +341,10 @@
         for name, value in environ.items()
         if name.startswith("HTTP_")
     }
+    if _is_abandoned(environ.get(_SOCKET_KEY)):
+        raise ChiverunError(
+            ResultCode.REQUEST_MALFORMED, "the caller closed its connection"
+        )
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
     path, _, query = environ["REQUEST_URI"].partition("?")
@@ -232,6 +358,22 @@
     )
 
 
+def _is_abandoned(sock: socket.socket | None) -> bool:
+    """Tell whether the caller has closed its side.
+
+    A request that waited here while this process was stopped gets a new
+    deadline when it is read, although its caller has given up.
+    """
+    if sock is None:
+        return False
+    try:
+        if not wait_for_read(sock, timeout=0.0):
+            return False
+        return sock.recv(1, socket.MSG_PEEK) == b""
+    except OSError:
+        return True
+
+
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -50,7 +50,13 @@
         self._table = BlockTable(sites=[])
 
     def handle(self, req: Incoming) -> Reply:
-        """Answer by path."""
+        """Answer by path; no request here runs on a backend server."""
+        try:
+            return self._handle(req)
+        except ChiverunError as exc:
+            return error_reply(400, Outcome.NOT_RUN, exc.code, exc.message)
+
+    def _handle(self, req: Incoming) -> Reply:
         match (req.method, req.path):
             case ("GET", "/v1/lookup"):
                 return self._lookup(req)
@@ -119,9 +125,17 @@
                 "this instance is stopping; ask another",
             )
         identity = self._sources.plane.identity
+        keys = self._keys.issue(int(text))
+        if not keys:
+            return error_reply(
+                503,
+                Outcome.NOT_RUN,
+                ResultCode.NO_CAPACITY,
+                "the key table is full; ask another instance",
+            )
         return json_reply(
             {
-                "keys": self._keys.issue(int(text)),
+                "keys": keys,
                 "entry": identity.entry,
                 "ttl_s": self._ttl_s,
             }
--- /dev/null
+++ b/tests/integrations/test_web.py
@@ -0,0 +1,183 @@
+"""Tests of inbound HTTP against broken and ambiguous requests."""
+
+import socket
+import unittest
+
+from nose2.tools import params
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.integrations.web import Reply
+from chiverun.integrations.web import WebServer
+from tests.naive import IS_NAIVE
+from tests.naive import NaiveWebServer
+
+_POST = b"POST /s/x HTTP/1.1\r\nHost: a\r\n"
+_GET = b"GET /s/x HTTP/1.1\r\nHost: a\r\n"
+_SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n"
+_REFUSALS = (b"400", b"413", b"414", b"501", b"505")
+
+
+def free_address() -> str:
+    """Return a loopback address with a port that was free just now."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+class WebTest(unittest.TestCase):
+    seen = []
+    error = None
+
+    @classmethod
+    def setUpClass(cls):
+        address = free_address()
+        cls.address = ("127.0.0.1", int(address.rpartition(":")[2]))
+        kind = NaiveWebServer if IS_NAIVE else WebServer
+        server = kind(address=address, handler=cls._handle, threads=2)
+        server.start()
+        cls.addClassCleanup(server.stop)
+
+    def setUp(self):
+        type(self).error = None
+        self.seen.clear()
+
+    @classmethod
+    def _handle(cls, req):
+        cls.seen.append((req.method, req.path, req.body))
+        if cls.error is not None:
+            raise cls.error
+        return Reply(status=200, body=b"done")
+
+    def _send(self, raw: bytes, *, is_cut: bool = False) -> bytes:
+        """Send bytes; return all that comes until the server closes."""
+        with socket.create_connection(self.address, 5) as conn:
+            received = b""
+            try:
+                conn.sendall(raw)
+                if is_cut:
+                    conn.shutdown(socket.SHUT_WR)
+                while data := conn.recv(65536):
+                    received += data
+            except ConnectionError:
+                pass
+            return received
+
+    @params(
+        ("two lengths", b"Content-Length: 4\r\nContent-Length: 9\r\n"),
+        ("same length twice", b"Content-Length: 4\r\nContent-Length: 4\r\n"),
+        ("list of lengths", b"Content-Length: 4, 4\r\n"),
+        ("signed length", b"Content-Length: +4\r\n"),
+        ("negative length", b"Content-Length: -4\r\n"),
+        ("empty length", b"Content-Length:\r\n"),
+        ("endless length", b"Content-Length: " + b"4" * 5000 + b"\r\n"),
+        ("space before colon", b"Content-Length : 4\r\n"),
+        ("folded length", b"Content-Length: 9\r\n 4\r\n"),
+        ("length and coding", b"Content-Length: 4\r\n" + _CHUNKED),
+        ("coding twice", _CHUNKED + _CHUNKED),
+        ("other coding", b"Transfer-Encoding: gzip, chunked\r\n"),
+        ("empty coding", b"Transfer-Encoding:\r\n"),
+        ("bare CR", b"X-A: b\rContent-Length: 4\r\n"),
+        ("NUL", b"X-A: \0\r\n"),
+        ("no colon", b"X-A\r\n"),
+        ("LF only", b"X-A: b\nX-C: d\r\n"),
+        ("two keys", b"Idempotency-Key: a\r\nIdempotency-Key: b\r\n"),
+        ("two deadlines", b"X-Deadline-Ms: 1\r\nX-Deadline-Ms: 9\r\n"),
+        ("large header", b"X-A: " + b"b" * 20_000 + b"\r\n"),
+        ("many headers", b"X-A: b\r\n" * 4000),
+        ("large body", b"Content-Length: 99999999\r\n"),
+    )
+    def test_ambiguous_request_is_refused(self, _case, lines):
+        """Guards against a request that two parties read differently."""
+        received = self._send(_POST + lines + b"\r\nbody" + _SMUGGLED)
+        self._check_refused(received)
+
+    @params(
+        ("garbage", b"\0\xff\x16\x03\x01garbage\r\n\r\n"),
+        ("garbage without end", b"\xff" * 40_000),
+        ("target with a control byte", b"GET /s/\x01 HTTP/1.1\r\n\r\n"),
+        ("target beyond ASCII", b"GET /s/\xff HTTP/1.1\r\n\r\n"),
+        (
+            "coding in HTTP/1.0",
+            b"POST /s/x HTTP/1.0\r\nConnection: Keep-Alive\r\n"
+            + _CHUNKED
+            + b"\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+        ("unknown version", b"GET /s/x HTTP/9.9\r\n\r\n"),
+        ("chunk size", _POST + _CHUNKED + b"\r\nzz\r\n" + _SMUGGLED),
+    )
+    def test_malformed_request_is_refused(self, _case, raw):
+        """Guards against running what is not a whole request."""
+        self._check_refused(self._send(raw + _SMUGGLED))
+
+    def _check_refused(self, received: bytes) -> None:
+        self.assertEqual([], self.seen)
+        # A close with unread bytes may overtake the response.
+        if received:
+            self.assertIn(received.split()[1], _REFUSALS)
+            self.assertIn(b"X-Chiverun-Outcome: not-run", received)
+        whole = self._send(_GET + b"Connection: close\r\n\r\n")
+        self.assertTrue(whole.endswith(b"done"), whole)
+
+    @params(
+        ("in the request line", b"GET /s"),
+        ("in the headers", _POST + b"Content-Le"),
+        ("before the body", _POST + b"Content-Length: 9\r\n\r\n"),
+        ("in the body", _POST + b"Content-Length: 9\r\n\r\nbody"),
+        ("in a chunk", _POST + _CHUNKED + b"\r\n9\r\nbody"),
+        ("before the last chunk", _POST + _CHUNKED + b"\r\n4\r\nbody\r\n"),
+        ("after the request", _POST + b"Content-Length: 4\r\n\r\nbody"),
+    )
+    def test_cut_request_is_not_run(self, _case, raw):
+        """Guards against running a part, or for a caller that has gone."""
+        received = self._send(raw, is_cut=True)
+        self.assertEqual([], self.seen)
+        if received:
+            self.assertIn(b"X-Chiverun-Outcome: not-run", received)
+
+    @params(
+        (
+            "second request",
+            _POST + b"Content-Length: 4\r\n\r\nbody" + _SMUGGLED,
+        ),
+        (
+            "request as trailer",
+            _POST + _CHUNKED + b"\r\n4\r\nbody\r\n0\r\n" + _SMUGGLED,
+        ),
+    )
+    def test_leftover_is_not_run(self, _case, raw):
+        """Guards against running bytes that follow a request."""
+        received = self._send(raw)
+        self.assertEqual([("POST", "/s/x", b"body")], self.seen)
+        self.assertEqual(1, received.count(b"HTTP/1.1 "))
+
+    @params(
+        (RuntimeError("fault"), ResultCode.INTERNAL),
+        (
+            ChiverunError(ResultCode.LINK_CAP, "raised after sending"),
+            ResultCode.LINK_CAP,
+        ),
+    )
+    def test_error_of_a_handler_is_unknown(self, error, code):
+        """Guards against "not run" after an error past the sending."""
+        type(self).error = error
+        raw = _GET + b"Connection: close\r\nX-Chiverun-Exchange: e1\r\n\r\n"
+        received = self._send(raw)
+        self.assertIn(b"HTTP/1.1 500 ", received)
+        self.assertIn(b"X-Chiverun-Outcome: unknown\r\n", received)
+        self.assertIn(b"X-Chiverun-Code: %d\r\n" % code, received)
+        self.assertIn(b"X-Chiverun-Exchange: e1\r\n", received)
+
+    def test_kept_connection_serves_one_request_after_another(self):
+        """Guards against refusing what is in order."""
+        with socket.create_connection(self.address, 5) as conn:
+            for number in range(3):
+                body = b"x" * number
+                head = _POST + b"Content-Length: %d\r\n\r\n" % number
+                conn.sendall(head + body)
+                received = b""
+                while not received.endswith(b"done"):
+                    received += conn.recv(65536)
+        self.assertEqual(
+            [("POST", "/s/x", b"x" * n) for n in range(3)], self.seen
+        )
