Count crossing requests by the caller's region and pace links by seats

Cause: requests of source-region callers that entered in the target region by a look-up were not counted against a shift's cap; instances without a part of a small cap were offered moved requests; a link's portion counted for a seat before it was open, and the earlier holder kept sending at its old rate; reservations of the largest response size blocked a link; requests passed on to a key's issuer were not counted on links.

--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -34,11 +34,15 @@
 from chiverun.core.portions import held_portion
 from chiverun.core.portions import slot_seat
 from chiverun.core.shift import active_shift
+from chiverun.core.shift import cap_name
+from chiverun.core.shift import SHIFT_JITTER_S
+from chiverun.core.shift import SHIFT_WINDOW_S
 from chiverun.core.ticket import Length
 from chiverun.core.ticket import Region
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Server
 from chiverun.core.ticket import ServerState
+from chiverun.core.ticket import Shift
 from chiverun.core.ticket import Zone
 
 if TYPE_CHECKING:
@@ -51,8 +55,6 @@
 # Covers clock differences between an instance and a backend server, which
 # enforces absolute deadlines.
 CLOCK_MARGIN_S = 0.25
-# One second plus the jitter between admission and arrival at the server.
-SHIFT_WINDOW_S = 1.25
 QUEUE_PER_SLOT_MAX = 8
 QUEUE_MIN = 16
 SERVICE_TIME_WEIGHT = 0.1
@@ -62,13 +64,15 @@
 class Work:
     """A request to admit; `deadline` is monotonic seconds.
 
-    `source_region` is the region of the instance that received it.
+    `source_region` is the region of the instance that received it and
+    `origin_region` that of the caller, None if it is not known.
     """
 
     service: ServiceName
     request_class: RequestClass
     source_region: RegionName
     deadline: float
+    origin_region: RegionName | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -209,6 +213,7 @@
                 and now < grant.work.deadline
                 and grant.server.name not in self._snapshot.leaving_servers
                 and self._is_active(grant.server)
+                and self._is_timely(grant, now)
             )
 
     def cancel(self, grant: Grant) -> None:
@@ -419,22 +424,45 @@
 
     def _take_shift_cap(self, work: Work, now: float) -> None:
         """Count a request that crosses regions against its shift's cap."""
+        for shift in self._crossed_shifts(work):
+            self._take_cap_of(shift, work, now)
+
+    def _crossed_shifts(self, work: Work) -> list[Shift]:
+        """Return the shifts into this region that a request counts for.
+
+        A caller of the source region may have entered in another region, by
+        a look-up that knew no instance of its own region.
+        """
         state = self._snapshot.state
         region = state.of(Zone)[self._zone].region
-        if work.source_region == region:
-            return
-        shift = active_shift(state, work.service, work.source_region, region)
-        if shift is None:
-            return
+        sources = {work.source_region, work.origin_region} - {region, None}
+        shifts = (
+            active_shift(state, work.service, source, region)
+            for source in sorted(sources)
+        )
+        return [shift for shift in shifts if shift is not None]
+
+    def _is_timely(self, grant: Grant, now: float) -> bool:
+        """Tell whether a grant is still counted in its shift's window.
+
+        A process that was paused between the grant and the sending would
+        add its requests to a later window.
+        """
+        return now - grant.granted_at <= SHIFT_JITTER_S or not (
+            self._crossed_shifts(grant.work)
+        )
+
+    def _take_cap_of(self, shift: Shift, work: Work, now: float) -> None:
+        name = cap_name(shift)
         cap = held_portion(
-            state,
-            f"shift:{shift.name}",
+            self._snapshot.state,
+            name,
             shift.cap_per_s,
             self._zone,
             [s.index for s in self._snapshot.seats if now >= s.short_from],
         )
         limiter = self._shift_limits.setdefault(
-            shift.name, WindowLimiter(cap=cap, window_s=SHIFT_WINDOW_S)
+            name, WindowLimiter(cap=cap, window_s=SHIFT_WINDOW_S)
         )
         limiter.cap = cap
         if not limiter.try_take(now):
--- a/chiverun/core/lookup.py
+++ b/chiverun/core/lookup.py
@@ -7,6 +7,7 @@
 import bisect
 import dataclasses
 import ipaddress
+import threading
 from typing import TYPE_CHECKING
 
 from chiverun.core.errors import ChiverunError
@@ -16,6 +17,7 @@
 
 if TYPE_CHECKING:
     from chiverun.core.ids import Address
+    from chiverun.core.ids import RegionName
     from chiverun.core.ids import ZoneName
     from chiverun.core.snapshot import Snapshot
     from chiverun.core.snapshot import ZoneView
@@ -82,6 +84,44 @@
     return BlockTable(sites=list(state.of(Site).values()))
 
 
+class BlockTables:
+    """The block table of the present sites; thread-safe.
+
+    Building the table of all client blocks takes long, so one thread builds
+    it while the others go on with the earlier one.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._sites: object = None
+        self._table = BlockTable(sites=[])
+
+    def get(self, state: "State") -> BlockTable:
+        """Return the table, built again when sites have changed."""
+        sites = state.of(Site)
+        is_first = self._sites is None
+        if sites is not self._sites and self._lock.acquire(blocking=is_first):
+            try:
+                if sites is not self._sites:
+                    self._table = block_table(state)
+                    self._sites = sites
+            finally:
+                self._lock.release()
+        return self._table
+
+
+def origin_region(
+    state: "State", table: BlockTable, remote: str
+) -> "RegionName | None":
+    """Return the region of a caller's address, None if no block has it."""
+    try:
+        zone = table.find(int(ipaddress.IPv4Address(remote)))
+    except ValueError:
+        return None
+    known = state.of(Zone).get(zone)
+    return known.region if known else None
+
+
 def _bounds(block: str) -> tuple[int, int]:
     network = ipaddress.IPv4Network(block)
     return int(network.network_address), int(network.broadcast_address)
--- a/chiverun/core/routing.py
+++ b/chiverun/core/routing.py
@@ -5,6 +5,8 @@
 
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ZoneName
+from chiverun.core.portions import held_portion
+from chiverun.core.shift import cap_name
 from chiverun.core.snapshot import EntryAddresses
 from chiverun.core.ticket import Link
 from chiverun.core.ticket import Zone
@@ -14,6 +16,7 @@
     from chiverun.core.ids import ServiceName
     from chiverun.core.snapshot import Snapshot
     from chiverun.core.state import State
+    from chiverun.core.ticket import Shift
 
 # An advert older than this says nothing about an instance's free slots.
 ROOM_MAX_AGE_S = 5.0
@@ -22,11 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Target:
-    """An instance that may admit a request to its zone's servers."""
+    """An instance that may admit a request to its zone's servers.
+
+    `portion` is its part of a shift's cap, in requests per second.
+    """
 
     zone: ZoneName
     region: RegionName
     addresses: EntryAddresses
+    portion: int = 0
 
 
 def link_between(
@@ -86,6 +93,34 @@
     return targets[:TARGETS_MAX]
 
 
+def shift_targets(
+    snapshot: "Snapshot", me: "InstanceId", shift: "Shift", now: float
+) -> list[Target]:
+    """Return the instances that may admit requests of a shift.
+
+    With a cap below the number of seats some instances have no part of it
+    and would refuse every request. Instances that were not heard of lately
+    may be cut off; trying them would cost a moved request its deadline.
+    """
+    targets = []
+    for target in _targets(snapshot, me):
+        addresses = target.addresses
+        if target.region != shift.target:
+            continue
+        if now - addresses.measured_at > ROOM_MAX_AGE_S:
+            continue
+        portion = held_portion(
+            snapshot.state,
+            cap_name(shift),
+            shift.cap_per_s,
+            target.zone,
+            addresses.seats,
+        )
+        if portion > 0:
+            targets.append(dataclasses.replace(target, portion=portion))
+    return targets
+
+
 def region_room(
     snapshot: "Snapshot", region: RegionName, service: "ServiceName"
 ) -> tuple[int, float]:
--- a/chiverun/core/snapshot.py
+++ b/chiverun/core/snapshot.py
@@ -15,9 +15,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryAddresses:
-    """Where an instance listens, as ``ip:port``, and its free slots.
+    """Where an instance listens, as ``ip:port``, and what it holds.
 
-    `room` is by service; it was measured at `measured_at`.
+    `room` is the free slots by service; it and `seats` were measured at
+    `measured_at`.
     """
 
     instance: InstanceId
@@ -26,6 +27,7 @@
     forward: Address
     room: Mapping[ServiceName, int]
     measured_at: float
+    seats: tuple[SeatIndex, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -936,6 +936,7 @@
                 forward=m.advert.forward,
                 room=m.advert.room,
                 measured_at=m.measured_at,
+                seats=tuple(c.seat for c in m.advert.seats),
             )
             for m in members
         ]
--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import threading
-import time
 import uuid
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
@@ -26,16 +25,23 @@
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
-from chiverun.core.links import HEADER_BYTES
+from chiverun.core.links import message_bytes
+from chiverun.core.lookup import origin_region
 from chiverun.core.routing import overflow_targets
 from chiverun.core.routing import region_room
 from chiverun.core.routing import region_targets
+from chiverun.core.routing import shift_targets
 from chiverun.core.routing import Target
 from chiverun.core.shift import active_shift
+from chiverun.core.shift import followed_by
 from chiverun.core.shift import grow
+from chiverun.core.shift import is_same_move
 from chiverun.core.shift import Measurement
+from chiverun.core.shift import note_refused
+from chiverun.core.shift import select_targets
 from chiverun.core.shift import ShiftProgress
 from chiverun.core.shift import take
+from chiverun.core.ticket import Region
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Service
 from chiverun.core.ticket import Shift
@@ -49,14 +55,16 @@
 from chiverun.runtime.execution import Content
 from chiverun.runtime.execution import epoch_ms
 from chiverun.runtime.forward import CLASS_HEADER
+from chiverun.runtime.forward import ORIGIN_HEADER
+from chiverun.runtime.forward import pace_reply
 from chiverun.runtime.forward import SOURCE_HEADER
 
 if TYPE_CHECKING:
     from chiverun.core.clock import Clock
     from chiverun.core.idempotency import KeyTable
     from chiverun.core.links import Links
+    from chiverun.core.lookup import BlockTables
     from chiverun.core.retries import RetryBudget
-    from chiverun.core.snapshot import EntryAddresses
     from chiverun.core.snapshot import Snapshot
     from chiverun.integrations.backend import HttpBackends
     from chiverun.integrations.telemetry import Telemetry
@@ -101,6 +109,7 @@
         executor: "Executor",
         backends: "HttpBackends",
         links: "Links",
+        blocks: "BlockTables",
         keys: "KeyTable",
         budget: "RetryBudget",
         telemetry: "Telemetry",
@@ -111,6 +120,7 @@
         self._executor = executor
         self._backends = backends
         self._links = links
+        self._blocks = blocks
         self._keys = keys
         self._budget = budget
         self._telemetry = telemetry
@@ -157,6 +167,22 @@
         parts = parse_key(key)
         if parts is not None and parts.instance != self._me.instance:
             return self._ask_issuer(req, request, key)
+        source = RegionName(req.header(SOURCE_HEADER.lower()))
+        regions = self._plane.snapshot.state.of(Region)
+        if source not in regions or source == request.work.source_region:
+            return self._run_or_replay(req, request, key)
+        return pace_reply(
+            self._links,
+            self._clock,
+            dataclasses.replace(request.work, source_region=source),
+            lambda: self._run_or_replay(req, request, key),
+            # An earlier request with this key may have run.
+            refusal=Outcome.UNKNOWN,
+        )
+
+    def _run_or_replay(
+        self, req: Incoming, request: _Request, key: IdempotencyKey
+    ) -> Reply:
         begin = self._keys.begin(
             key, _fingerprint(req), wait_until=request.work.deadline
         )
@@ -193,12 +219,15 @@
         issuer = self._find_instance(key)
         if issuer is None:
             return _unknown_key(key, "its issuer is not known to be live")
+        if self._pace_request(issuer, request) is not None:
+            return _unknown_key(key, "the link to its issuer has no room")
         headers = backend_headers(req.headers)
         headers["Idempotency-Key"] = key
+        self._name_regions(headers, request.work)
         headers["X-Deadline-Ms"] = str(self._left_ms(request.work.deadline))
         self._telemetry.inject(headers)
         end = self._backends.exchange(
-            issuer.entry,
+            issuer.addresses.entry,
             Outgoing(
                 method=req.method,
                 path=req.target,
@@ -217,12 +246,20 @@
             case _:
                 return _unknown_key(key, "its issuer did not answer")
 
-    def _find_instance(self, key: IdempotencyKey) -> "EntryAddresses | None":
+    def _name_regions(self, headers: dict[str, str], work: Work) -> None:
+        headers[SOURCE_HEADER] = work.source_region
+        headers[ORIGIN_HEADER] = work.origin_region or work.source_region
+
+    def _find_instance(self, key: IdempotencyKey) -> Target | None:
         parts = parse_key(key)
         for view in self._plane.snapshot.zones.values():
             for addresses in view.instances:
                 if parts and addresses.instance == parts.instance:
-                    return addresses
+                    return Target(
+                        zone=view.zone,
+                        region=view.region,
+                        addresses=addresses,
+                    )
         return None
 
     def _left_ms(self, deadline: float) -> int:
@@ -284,15 +321,26 @@
         work = request.work
         now = self._clock.monotonic()
         for target in self._shift_targets(snapshot, work, now):
-            yield self._forward(target, request)
+            attempt = self._forward(target, request)
+            self._note_shift_refusal(target, work, attempt)
+            yield attempt
         local = self._executor.run(
             work, request.content, excluded, may_wait=False
         )
         yield local
+        is_foreign = work.origin_region not in (None, work.source_region)
+        if is_foreign:
+            for target in region_targets(
+                snapshot, self._me.instance, work.origin_region, work.service
+            ):
+                yield self._forward(target, request)
         for target in overflow_targets(
             snapshot, self._me.instance, self._me.zone, work.service, now
         ):
             yield self._forward(target, request)
+        if is_foreign:
+            # It could wait at the head of a queue for the cap of a shift.
+            return
         yield self._executor.run(
             work, request.content, excluded, may_wait=True
         )
@@ -312,15 +360,32 @@
             grow(progress, measurement, now)
             if not take(progress):
                 return []
-        return region_targets(
-            snapshot, self._me.instance, shift.target, work.service
-        )
+            targets = shift_targets(snapshot, self._me.instance, shift, now)
+            return select_targets(progress, targets, now)
+
+    def _note_shift_refusal(
+        self, target: Target, work: Work, attempt: Attempt
+    ) -> None:
+        match attempt.end:
+            case PeerRefused(code=ResultCode.SHIFT_CAP):
+                state = self._plane.snapshot.state
+                shift = active_shift(state, work.service, work.source_region)
+                if shift is None:
+                    return
+                with self._lock:
+                    note_refused(
+                        self._shift_progress(shift),
+                        target,
+                        self._clock.monotonic(),
+                    )
 
     def _shift_progress(self, shift: Shift) -> ShiftProgress:
         progress = self._shifts.get(shift.name)
-        if progress is None or progress.shift != shift:
+        if progress is None or not is_same_move(progress.shift, shift):
             progress = ShiftProgress(shift=shift)
-            self._shifts[shift.name] = progress
+        elif progress.shift != shift:
+            progress = followed_by(progress, shift)
+        self._shifts[shift.name] = progress
         return progress
 
     def _forward(self, target: Target, request: _Request) -> Attempt:
@@ -334,7 +399,7 @@
         headers["X-Request-Id"] = content.request_id
         headers["X-Deadline-Epoch-Ms"] = epoch_ms(self._clock, work.deadline)
         headers[CLASS_HEADER] = work.request_class.name
-        headers[SOURCE_HEADER] = work.source_region
+        self._name_regions(headers, work)
         with self._telemetry.span("attempt", zone=target.zone):
             self._telemetry.inject(headers)
             end = self._backends.exchange(
@@ -362,12 +427,14 @@
         work = request.work
         if target.region == work.source_region:
             return None
-        size = len(request.content.body) + HEADER_BYTES
+        content = request.content
+        size = message_bytes(content.headers.items(), content.body)
         left_s = work.deadline - self._clock.monotonic()
-        rate = self._links.try_admit(target.region, size, left_s)
-        if rate is None:
+        reservation = self._links.reserve(target.region, size, left_s)
+        if reservation is None or not self._links.pace(
+            reservation, size, work.deadline
+        ):
             return Attempt(end=PeerRefused(code=ResultCode.LINK_CAP))
-        time.sleep(self._links.schedule(rate, size, size))
         return None
 
     # Reading a request.
@@ -397,6 +464,7 @@
                 request_class=request_class,
                 source_region=region,
                 deadline=self._deadline(req, request_class),
+                origin_region=self._origin(req, state),
             ),
             content=Content(
                 method=req.method,
@@ -415,6 +483,15 @@
             )
         return zone.region
 
+    def _origin(self, req: Incoming, state) -> RegionName | None:
+        """Return the caller's region; a peer that passes it on states it."""
+        table = self._blocks.get(state)
+        origin = origin_region(state, table, req.remote)
+        stated = RegionName(req.header(ORIGIN_HEADER.lower()))
+        if origin is None and stated in state.of(Region):
+            return stated
+        return origin
+
     def _deadline(self, req: Incoming, request_class: RequestClass) -> float:
         most_ms = request_class.deadline_ms
         text = req.header("x-deadline-ms", str(most_ms))
--- a/chiverun/runtime/forward.py
+++ b/chiverun/runtime/forward.py
@@ -5,7 +5,7 @@
 """
 
 import threading
-import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from chiverun.core.admission import Work
@@ -17,7 +17,7 @@
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServiceName
-from chiverun.core.links import HEADER_BYTES
+from chiverun.core.links import message_bytes
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Service
 from chiverun.core.ticket import Zone
@@ -30,7 +30,6 @@
 if TYPE_CHECKING:
     from chiverun.core.clock import Clock
     from chiverun.core.ids import ZoneName
-    from chiverun.core.limits import ByteRate
     from chiverun.core.links import Links
     from chiverun.integrations.telemetry import Telemetry
     from chiverun.runtime.control import ControlPlane
@@ -38,6 +37,8 @@
 
 CLASS_HEADER = "X-Chiverun-Class"
 SOURCE_HEADER = "X-Chiverun-Source"
+# Region of the caller, which may differ from that of the entry instance.
+ORIGIN_HEADER = "X-Chiverun-Origin"
 _PREFIX = "/f/"
 
 
@@ -88,33 +89,14 @@
             body=req.body,
             request_id=req.header("x-request-id"),
         )
-        most = work.request_class.answer_bytes_max + HEADER_BYTES
-        region = self._region()
-        if work.source_region == region:
+        if work.source_region == self._region():
             return reply_to_peer(self._run(work, content))
-        left_s = work.deadline - self._clock.monotonic()
-        rate = self._links.try_admit(work.source_region, most, left_s)
-        if rate is None:
-            return error_reply(
-                503,
-                Outcome.NOT_RUN,
-                ResultCode.LINK_CAP,
-                f"link from {region} to {work.source_region} has no room",
-            )
-        return self._paced(rate, most, work, content)
-
-    def _paced(
-        self, rate: "ByteRate", most: int, work: Work, content: Content
-    ) -> Reply:
-        """Run a request and delay its response to the link's rate."""
-        actual = 0
-        try:
-            reply = reply_to_peer(self._run(work, content))
-            actual = len(reply.body) + HEADER_BYTES
-        finally:
-            delay_s = self._links.schedule(rate, most, actual)
-        time.sleep(delay_s)
-        return reply
+        return pace_reply(
+            self._links,
+            self._clock,
+            work,
+            lambda: reply_to_peer(self._run(work, content)),
+        )
 
     def _run(self, work: Work, content: Content) -> ExchangeEnd:
         attempt = self._executor.run(
@@ -140,6 +122,8 @@
             deadline=deadline_from_epoch(
                 self._clock, req.header("x-deadline-epoch-ms")
             ),
+            origin_region=RegionName(req.header(ORIGIN_HEADER.lower()))
+            or None,
         )
 
 
@@ -150,6 +134,51 @@
     raise ValueError(f"class {name!r} of service {service.name} is unknown")
 
 
+def pace_reply(
+    links: "Links",
+    clock: "Clock",
+    work: Work,
+    run: Callable[[], Reply],
+    refusal: Outcome = Outcome.NOT_RUN,
+) -> Reply:
+    """Run a request and delay its response to the rate of the link.
+
+    Response bytes are reserved before the request runs. A response that is
+    too late for its deadline is not sent over the link.
+    """
+    target = work.source_region
+    name = f"{work.service}/{work.request_class.name}"
+    reservation = links.reserve_response(
+        target,
+        name,
+        work.request_class.answer_bytes_max,
+        work.deadline - clock.monotonic(),
+    )
+    if reservation is None:
+        return error_reply(
+            503,
+            refusal,
+            ResultCode.LINK_CAP,
+            f"link to {target} has no room",
+        )
+    try:
+        reply = run()
+    except BaseException:
+        links.cancel(reservation)
+        raise
+    actual = message_bytes(reply.headers, reply.body)
+    if reply.status == 200:
+        links.note_response(name, actual)
+    if links.pace(reservation, actual, work.deadline):
+        return reply
+    return error_reply(
+        502,
+        Outcome.UNKNOWN,
+        ResultCode.BACKEND_TIMEOUT,
+        f"the response was too late for the link to {target}",
+    )
+
+
 def reply_to_peer(end: ExchangeEnd) -> Reply:
     """Return the reply that tells a peer how an exchange ended."""
     classified = classify(end)
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -16,6 +16,7 @@
 from chiverun.core.idempotency import KeyTable
 from chiverun.core.ids import LifeId
 from chiverun.core.links import Links
+from chiverun.core.lookup import BlockTables
 from chiverun.core.messages import decode_message
 from chiverun.core.messages import encode_message
 from chiverun.core.messages import Message
@@ -161,6 +162,7 @@
 
     def _build_handlers(self) -> None:
         cfg = self._cfg
+        blocks = BlockTables()
         executor = Executor(
             clock=self._clock,
             admission=self._admission,
@@ -174,6 +176,7 @@
             executor=executor,
             backends=self._backends,
             links=self._links,
+            blocks=blocks,
             keys=self._keys,
             budget=RetryBudget(),
             telemetry=self._telemetry,
@@ -195,6 +198,7 @@
                 watch=self._watch,
             ),
             keys=self._keys,
+            blocks=blocks,
             telemetry=self._telemetry,
             ttl_s=cfg.ttl_s,
         )
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -1,6 +1,5 @@
 """Look-ups, keys, health and status: the handler of the look-up address."""
 
-import threading
 import urllib.parse
 from typing import TYPE_CHECKING
 
@@ -8,11 +7,8 @@
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 from chiverun.core.lookup import answer_lookup
-from chiverun.core.lookup import block_table
-from chiverun.core.lookup import BlockTable
 from chiverun.core.lookup import parse_client
 from chiverun.core.ticket import Service
-from chiverun.core.ticket import Site
 from chiverun.integrations.web import error_reply
 from chiverun.integrations.web import Incoming
 from chiverun.integrations.web import json_reply
@@ -20,9 +16,8 @@
 from chiverun.runtime.status import make_status
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from chiverun.core.idempotency import KeyTable
+    from chiverun.core.lookup import BlockTables
     from chiverun.core.state import State
     from chiverun.integrations.telemetry import Telemetry
     from chiverun.runtime.status import Sources
@@ -38,6 +33,7 @@
         *,
         sources: "Sources",
         keys: "KeyTable",
+        blocks: "BlockTables",
         telemetry: "Telemetry",
         ttl_s: float,
     ) -> None:
@@ -45,9 +41,7 @@
         self._keys = keys
         self._telemetry = telemetry
         self._ttl_s = ttl_s
-        self._lock = threading.Lock()
-        self._sites: Mapping[str, Site] | None = None
-        self._table = BlockTable(sites=[])
+        self._blocks = blocks
 
     def handle(self, req: Incoming) -> Reply:
         """Answer by path."""
@@ -80,7 +74,7 @@
             _check_service(snapshot.state, query.get("service"))
             result = answer_lookup(
                 snapshot,
-                self._blocks(snapshot.state),
+                self._blocks.get(snapshot.state),
                 client,
                 self._sources.plane.identity.zone,
                 self._ttl_s,
@@ -95,15 +89,6 @@
             )
         return json_reply(result)
 
-    def _blocks(self, state: "State") -> BlockTable:
-        """Return the block table, built again when sites have changed."""
-        sites = state.of(Site)
-        with self._lock:
-            if sites is not self._sites:
-                self._table = block_table(state)
-                self._sites = sites
-            return self._table
-
     def _issue(self, req: Incoming) -> Reply:
         text = _query(req).get("count", "1")
         if not text.isdecimal() or not 0 < int(text) <= KEYS_PER_CALL_MAX:
