Check servers side by side and bound the steps of a graceful stop

Cause: servers were checked one after the other (0.5 s for each that did not answer) on the thread that also read the instance list; a new drain sign waited for the next ping; a server drained by another sign than its own response came back without slow start; a stopping instance told its zone once, told other zones nothing, waited without limit and ended while its last seat record was unwritten.

Change: one check per server at a time, each on a daemon thread; the list on its own thread; a new sign is told to the zone at once; slow start after any sign; the leave is told every 0.5 s, also to three instances of each other zone; waits are bounded by the longest deadline plus 5 s; peers' new requests are refused as not run after the look-up time; later signals are ignored until the process has ended.

--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -21,6 +21,7 @@
 from chiverun.core.exchange import classify
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.health import mark_draining
+from chiverun.core.health import note_returned
 from chiverun.core.health import record
 from chiverun.core.health import ServerHealth
 from chiverun.core.health import Standing
@@ -134,6 +135,7 @@
         self._busy: dict[_SlotKey, Grant] = {}
         self._occupied_until: dict[_SlotKey, tuple[float, SeatIndex]] = {}
         self._health: dict[ServerName, ServerHealth] = {}
+        self._out: frozenset[ServerName] = frozenset()
         self._queues: dict[
             tuple[ServiceName, Length], collections.deque[_Waiter]
         ] = {}
@@ -150,6 +152,7 @@
             if layout != self._layout:
                 self._layout = layout
                 self._rebuild(snapshot)
+            self._note_returned()
             self._expire_occupied(self._clock.monotonic())
             self._serve_queues()
 
@@ -292,6 +295,18 @@
 
     # Callers of the methods below hold the lock.
 
+    def _note_returned(self) -> None:
+        """Begin the slow start of servers that no longer drain."""
+        leaving = self._snapshot.leaving_servers
+        servers = self._snapshot.state.of(Server)
+        out = frozenset(
+            name
+            for name in self._health
+            if name in leaving or servers[name].state is ServerState.DRAIN
+        )
+        note_returned(self._health, self._out - out, self._clock.monotonic())
+        self._out = out
+
     def _check(self, work: Work) -> None:
         now = self._clock.monotonic()
         if not self._is_current(now):
--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -27,6 +27,7 @@
 ADVERT_MAX_AGE_S = 10.0
 ANNOUNCE_IN_ZONE = 3
 ANNOUNCE_REMOTE = 1
+CONTACTS_PER_ZONE = 3
 ENTRIES_PER_MESSAGE = 64
 CHUNK_BYTES = 256 * 1024
 DRAIN_SIGN_S = 10.0
@@ -66,6 +67,21 @@
     return rng.choice(by_zone[rng.choice(sorted(by_zone))])
 
 
+def contacts_by_zone(
+    members: MemberTable, zone: ZoneName, rng: random.Random
+) -> list[Member]:
+    """Choose live members of each other zone, at most three of a zone."""
+    by_zone: dict[ZoneName, list[Member]] = {}
+    for row in members.rows.values():
+        if row.zone != zone and row.is_live:
+            by_zone.setdefault(row.zone, []).append(row)
+    return [
+        row
+        for _, rows in sorted(by_zone.items())
+        for row in rng.sample(rows, min(CONTACTS_PER_ZONE, len(rows)))
+    ]
+
+
 def announce_targets(
     members: MemberTable, zone: ZoneName, rng: random.Random
 ) -> list[Member]:
--- a/chiverun/core/health.py
+++ b/chiverun/core/health.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 import enum
+from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from chiverun.core.errors import Outcome
@@ -115,6 +117,22 @@
     row.returned_at = row.draining_until
 
 
+def note_returned(
+    rows: Mapping["ServerName", ServerHealth],
+    names: Iterable["ServerName"],
+    now: float,
+) -> None:
+    """Begin the slow start of servers that may be chosen again.
+
+    A sign from a peer, the instance list or a ticket leaves no mark in the
+    row of an instance that did not see the server drain itself.
+    """
+    for name in names:
+        row = rows.get(name)
+        if row is not None:
+            row.returned_at = max(row.returned_at, now)
+
+
 def slow_start_share(row: ServerHealth, now: float) -> float:
     """Return the part of its slots that a returning server may use."""
     age_s = now - row.returned_at
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -307,14 +307,24 @@
             )
 
     def _drain_system(self, now: float) -> None:
-        for server in self._admission.draining_servers():
-            self._note_drain(server, now)
+        self._note_drains(self._admission.draining_servers(), now)
         for server, until in list(self.drains.until.items()):
             if until <= now:
                 del self.drains.until[server]
 
-    def _note_drain(self, server: ServerName, now: float) -> None:
-        self.drains.until[server] = now + dissemination.DRAIN_SIGN_S
+    def _note_drains(self, servers: Iterable[ServerName], now: float) -> None:
+        """Note own signs; tell the zone of new ones at once.
+
+        In a large zone the turn of a peer to be pinged may come later than
+        the time within which a leaving server gets no more work.
+        """
+        until = self.drains.until
+        is_new = any(until.get(s, now) <= now for s in servers)
+        for server in servers:
+            until[server] = now + dissemination.DRAIN_SIGN_S
+        if is_new:
+            self._publish(now)
+            self._tell_zone()
 
     # Seats.
 
@@ -628,13 +638,12 @@
             case StateRead(state=state):
                 self._adopt(state)
             case ServersLeaving(servers=servers):
-                now = self._clock.monotonic()
-                for server in servers:
-                    self._note_drain(server, now)
+                self._note_drains(servers, self._clock.monotonic())
             case Leave():
                 self.is_leaving = True
                 self._publish(self._clock.monotonic())
                 self._tell_zone()
+                self._tell_remote()
             case HandOver():
                 self._hand_over()
 
@@ -720,6 +729,14 @@
         for row in self.members.live_in_zone(self.identity.zone):
             self._ping(row.peer, row.instance, sequence=0)
 
+    def _tell_remote(self) -> None:
+        """Ping some instances of each other zone."""
+        targets = dissemination.contacts_by_zone(
+            self.members, self.identity.zone, self._rng
+        )
+        for row in targets:
+            self._ping(row.peer, None, sequence=0)
+
     def _gossip(self, about: InstanceId | None) -> Gossip:
         now = self._clock.monotonic()
         return Gossip(
--- a/chiverun/runtime/forward.py
+++ b/chiverun/runtime/forward.py
@@ -62,11 +62,23 @@
         self._links = links
         self._telemetry = telemetry
         self._lock = threading.Lock()
+        self._is_refusing = False
         self.in_flight = 0
 
+    def refuse_new(self) -> None:
+        """Refuse peers' requests from now on; they try other instances."""
+        self._is_refusing = True
+
     def handle(self, req: Incoming) -> Reply:
         """Run a peer's request once."""
         with self._lock:
+            if self._is_refusing:
+                return error_reply(
+                    503,
+                    Outcome.NOT_RUN,
+                    ResultCode.LEAVING,
+                    "this instance is stopping; ask another",
+                )
             self.in_flight += 1
         try:
             with self._telemetry.span("forward", parent=req.headers):
--- a/chiverun/runtime/healthcheck.py
+++ b/chiverun/runtime/healthcheck.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import logbook
+
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Shed
@@ -26,10 +28,16 @@
 _TIMEOUT_S = 0.5
 _ANSWER_BYTES_MAX = 4096
 _DRAINING_HEADER = "x-shed"
+_LOG = logbook.Logger("health")
 
 
 class HealthCheck:
-    """Checks the servers of this zone once a second, on its own thread."""
+    """Checks the servers of this zone once a second, on its own threads.
+
+    A server that does not answer holds up neither the checks of others nor
+    the start of the next round. The instance list is read on a thread of its
+    own, since a read takes long while the platform is down.
+    """
 
     def __init__(
         self,
@@ -46,25 +54,74 @@
         self._instances = instances
         self._report = report
         self._stopping = threading.Event()
-        self._list_read_at = float("-inf")
-        self._thread = threading.Thread(
-            target=self._run, daemon=True, name="health"
-        )
+        self._lock = threading.Lock()
+        self._checking: set[ServerName] = set()
+        self._threads = [
+            threading.Thread(
+                target=self._repeat, args=args, daemon=True, name="health"
+            )
+            for args in (
+                (self.check_servers, PERIOD_S),
+                (self.read_list, LIST_PERIOD_S),
+            )
+        ]
 
     def start(self) -> None:
         """Begin to check."""
-        self._thread.start()
+        for thread in self._threads:
+            thread.start()
 
     def stop(self) -> None:
-        """End after the present check."""
+        """End after the present checks."""
         self._stopping.set()
 
-    def _run(self) -> None:
-        while not self._stopping.wait(PERIOD_S):
-            leaving = {s.name for s in self._servers() if self._says_so(s)}
-            leaving |= self._listed()
-            if leaving:
-                self._report(ServersLeaving(servers=frozenset(leaving)))
+    def _repeat(self, check: Callable[[], None], period_s: float) -> None:
+        due = self._clock.monotonic() + period_s
+        while not self._stopping.wait(max(0.0, due - self._clock.monotonic())):
+            due = max(due + period_s, self._clock.monotonic())
+            try:
+                check()
+            except Exception:
+                # A fault in one round must not end the checks.
+                _LOG.exception("check failed")
+
+    def check_servers(self) -> None:
+        """Start a check of each server whose last one has ended.
+
+        The threads are daemons: a server that sends its answer byte by byte
+        must not hold up the end of the process.
+        """
+        for server in self._servers():
+            with self._lock:
+                if server.name in self._checking or self._stopping.is_set():
+                    continue
+                self._checking.add(server.name)
+            threading.Thread(
+                target=self._check, args=(server,), daemon=True, name="health"
+            ).start()
+
+    def _check(self, server: Server) -> None:
+        try:
+            if self._says_so(server):
+                names = frozenset({server.name})
+                self._report(ServersLeaving(servers=names))
+        finally:
+            with self._lock:
+                self._checking.discard(server.name)
+
+    def read_list(self) -> None:
+        """Read the instance list, on the zone's watchers only."""
+        if self._instances is None or not self._plane.is_watcher():
+            return
+        known = {s.name for s in self._servers()}
+        for service in self._plane.snapshot.state.of(Service):
+            try:
+                listed = self._instances.fetch(service)
+            except StoreUnavailable:
+                continue
+            names = frozenset(ServerName(i.name) for i in listed if i.leaving)
+            if names & known:
+                self._report(ServersLeaving(servers=names & known))
 
     def _servers(self) -> list[Server]:
         zone = self._plane.identity.zone
@@ -88,25 +145,6 @@
         )
         return is_draining(end)
 
-    def _listed(self) -> set[ServerName]:
-        """Read the instance list, on the zone's watchers only."""
-        now = self._clock.monotonic()
-        if (
-            self._instances is None
-            or now - self._list_read_at < LIST_PERIOD_S
-            or not self._plane.is_watcher()
-        ):
-            return set()
-        self._list_read_at = now
-        leaving = set()
-        for service in self._plane.snapshot.state.of(Service):
-            try:
-                listed = self._instances.fetch(service)
-            except StoreUnavailable:
-                continue
-            leaving |= {ServerName(i.name) for i in listed if i.leaving}
-        return leaving
-
 
 def is_draining(end: ExchangeEnd) -> bool:
     """Tell whether a health check's end says that the server is draining."""
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import logbook
@@ -21,6 +22,8 @@
 from chiverun.core.messages import encode_message
 from chiverun.core.messages import Message
 from chiverun.core.retries import RetryBudget
+from chiverun.core.seats import longest_deadline_s
+from chiverun.core.ticket import Length
 from chiverun.core.ticketlog import TicketLog
 from chiverun.core.timer import TimerService
 from chiverun.integrations.backend import HttpBackends
@@ -35,6 +38,7 @@
 from chiverun.runtime.control import HandOver
 from chiverun.runtime.control import Identity
 from chiverun.runtime.control import Leave
+from chiverun.runtime.control import StoreJob
 from chiverun.runtime.control import TICK_S
 from chiverun.runtime.entry import Entry
 from chiverun.runtime.execution import Executor
@@ -52,7 +56,10 @@
 
 # Time for the news that an instance leaves to reach all look-up answers.
 LEAVE_SPREAD_S = 2.0
+LEAVE_TELL_PERIOD_S = 0.5
 HAND_OVER_LIMIT_S = 5.0
+# Time to write responses after the longest deadline of any request.
+FINISH_MARGIN_S = 5.0
 _POLL_S = 0.05
 _BACKEND_CONNECTIONS = 16
 _LOG = logbook.Logger("instance")
@@ -150,7 +157,7 @@
             rng=self._rng,
             admission=self._admission,
             send=self._send,
-            submit=self._worker.tell,
+            submit=self._submit,
         )
         self._control = ControlActor.start(self._plane, self._links)
         self._watch = HeadWatch(
@@ -263,28 +270,53 @@
     def _leave(self) -> None:
         """Leave look-up answers, finish all requests, give seats away."""
         _LOG.info("leaving")
-        self._tell(Leave())
         for server in self._servers:
             server.close_connections()
-        time.sleep(self._cfg.ttl_s + LEAVE_SPREAD_S)
-        while self._in_flight() > 0:
-            time.sleep(_POLL_S)
+        self._announce_leave(self._cfg.ttl_s + LEAVE_SPREAD_S)
+        self._forward.refuse_new()
+        if not self._wait(lambda: self._in_flight() == 0, self._finish_s()):
+            _LOG.warning("requests left", extra={"count": self._in_flight()})
         self._tell(HandOver())
-        limit = self._clock.monotonic() + HAND_OVER_LIMIT_S
-        while (
-            not self._plane.has_handed_over and self._clock.monotonic() < limit
-        ):
+        self._wait(lambda: self._plane.has_handed_over, HAND_OVER_LIMIT_S)
+        try:
+            # Its queue holds the last change of the seats' record.
+            self._worker.stop(block=True, timeout=HAND_OVER_LIMIT_S)
+        except pykka.Timeout:
+            _LOG.warning("seat record not written: no answer of the store")
+
+    def _announce_leave(self, seconds: float) -> None:
+        """Tell peers repeatedly, since a message may be lost."""
+        until = self._clock.monotonic() + seconds
+        while self._clock.monotonic() < until:
+            self._tell(Leave())
+            time.sleep(LEAVE_TELL_PERIOD_S)
+
+    def _finish_s(self) -> float:
+        """Return the time after which no request can be in flight."""
+        state = self._plane.snapshot.state
+        longest_s = max(longest_deadline_s(state, kind) for kind in Length)
+        return longest_s + FINISH_MARGIN_S
+
+    def _wait(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        limit = self._clock.monotonic() + limit_s
+        while not condition():
+            if self._clock.monotonic() >= limit:
+                return False
             time.sleep(_POLL_S)
+        return True
 
     def _in_flight(self) -> int:
         return self._entry.in_flight + self._forward.in_flight
 
     def _stop(self) -> None:
+        # A signal while the interpreter ends must not change the exit code.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        signal.signal(signal.SIGINT, signal.SIG_IGN)
+        for server in self._servers:
+            server.stop()
         self._timer.stop()
         self._watch.stop()
         self._health.stop()
-        for server in self._servers:
-            server.stop()
         self._peers.stop()
         pykka.ActorRegistry.stop_all(block=False)
         self._backends.close()
@@ -297,6 +329,12 @@
         except pykka.ActorDeadError:
             return
 
+    def _submit(self, job: StoreJob) -> None:
+        try:
+            self._worker.tell(job)
+        except pykka.ActorDeadError:
+            return
+
     def _send(self, address: "Address", message: Message) -> None:
         self._peers.send(address, encode_message(message))
 
