--- a/chiverun/core/limits.py
+++ b/chiverun/core/limits.py
@@ -41,6 +41,7 @@
 # Bytes of any second stay within the rate although their arrival at the link
 # may be delayed by up to a tenth of a second against each other.
 BYTE_WINDOW_S = 1.1
+_WAIT_MIN_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -105,11 +106,14 @@
         self._advance(now)
         missing = booking.position - self._served
         if missing > 1e-6:
-            return missing / self.bytes_per_s if self.bytes_per_s else 1.0
+            if not self.bytes_per_s:
+                return 1.0
+            return max(_WAIT_MIN_S, missing / self.bytes_per_s)
         while self._sent and self._sent[0][0] <= now - BYTE_WINDOW_S:
             self._sent_bytes -= self._sent.popleft()[1]
         if self._sent and self._sent_bytes + booking.size > self.bytes_per_s:
-            return self._sent[0][0] + BYTE_WINDOW_S - now
+            # Rounding must not make a refusal look like leave to send.
+            return max(_WAIT_MIN_S, self._sent[0][0] + BYTE_WINDOW_S - now)
         self._sent.append((now, booking.size))
         self._sent_bytes += booking.size
         return 0.0
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -96,6 +96,15 @@
                 ResultCode.REQUEST_MALFORMED,
                 f"count is {text!r}; valid: 1 to {KEYS_PER_CALL_MAX}",
             )
+        if self._sources.plane.state.number == 0:
+            # Its requests would be refused here, and no other instance
+            # could tell whether they ran.
+            return error_reply(
+                503,
+                Outcome.NOT_RUN,
+                ResultCode.NOT_READY,
+                "no ticket is in force here; ask another instance",
+            )
         if self._sources.plane.is_leaving:
             return error_reply(
                 503,
--- a/standins/audit.py
+++ b/standins/audit.py
@@ -1,4 +1,7 @@
-"""Joins callers' records with what backend servers logged that they ran."""
+"""Joins callers' records with what backend servers logged that they ran.
+
+Nothing is taken from chiverun's own account of itself.
+"""
 
 import collections
 import dataclasses
@@ -10,6 +13,13 @@
 from hdrh.histogram import HdrHistogram
 
 WINDOW_S = 1.0
+# A draining server may get new work for this long.
+DRAIN_S = 3.0
+# Between a caller's note of a try's start and its sending.
+DEADLINE_MARGIN_S = 0.05
+_BYTES_PER_MBIT = 125_000
+
+Record = dict[str, Any]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -24,33 +34,75 @@
     last: float
 
 
-def read_lines(paths: Iterable[pathlib.Path]) -> list[dict[str, Any]]:
-    """Read JSON lines; a half-written last line is left out."""
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Drain:
+    """A server that was draining from `at` to `until` (wall-clock)."""
+
+    server: str
+    at: float
+    until: float = float("inf")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """What must have been kept; a link rate of 0 is not checked."""
+
+    region_of_zone: dict[str, str]
+    shift_caps: tuple[ShiftCap, ...] = ()
+    drains: tuple[Drain, ...] = ()
+    link_mbit_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Records:
+    """Callers' requests, servers' events, and bytes between zones.
+
+    `unreadable` counts the lines that could not be read, other than a last
+    line that was cut off when its process ended.
+    """
+
+    callers: list[Record]
+    events: list[Record]
+    traffic: list[Record] = dataclasses.field(default_factory=list)
+    unreadable: int = 0
+
+
+def read_records(folder: pathlib.Path, servers: Iterable[str]) -> Records:
+    """Read the files of a run."""
+    callers, bad_callers = read_lines([folder / "callers.jsonl"])
+    events, bad_events = read_lines(folder / f"{s}.jsonl" for s in servers)
+    relay = folder / "relay.jsonl"
+    traffic, bad_traffic = read_lines([relay] if relay.exists() else [])
+    return Records(
+        callers=callers,
+        events=events,
+        traffic=traffic,
+        unreadable=bad_callers + bad_events + bad_traffic,
+    )
+
+
+def read_lines(paths: Iterable[pathlib.Path]) -> tuple[list[Record], int]:
+    """Read JSON lines; return them and the number of unreadable ones."""
     records = []
+    unreadable = 0
     for path in paths:
-        for line in path.read_text().splitlines():
+        lines = path.read_text().split("\n")
+        for line in lines[:-1]:
             try:
                 records.append(json.loads(line))
             except ValueError:
-                continue
-    return records
+                unreadable += 1
+    return records, unreadable
 
 
-def audit(
-    callers: list[dict[str, Any]],
-    events: list[dict[str, Any]],
-    caps: list[ShiftCap],
-    region_of_zone: dict[str, str],
-) -> dict[str, Any]:
+def audit(records: Records, limits: Limits) -> dict[str, Any]:
     """Return the figures of a run.
 
-    ``not_run_but_ran`` counts requests whose last outcome was "not run" and
-    that a backend server started; a request with an unknown or a cut try is
-    not counted, since that try may have run.
+    ``not_run_but_ran`` counts tries whose outcome was "not run" although a
+    backend server started that very try.
     """
-    starts = collections.Counter(
-        e["token"] for e in events if e["event"] == "start"
-    )
+    callers, events = records.callers, records.events
+    starts = [e for e in events if e["event"] == "start"]
     finals = [_final(r) for r in callers]
     answered = [
         r for r, f in zip(callers, finals, strict=True) if f == "answered"
@@ -61,24 +113,20 @@
         "not_run": finals.count("not-run"),
         "unknown": finals.count("unknown"),
         "wrong_answers": sum(1 for r in callers if r.get("wrong")),
-        "ran_twice": sum(
-            1
-            for r in callers
-            if not r["repeatable"] and starts[r["token"]] > 1
-        ),
-        "not_run_but_ran": sum(
-            1
-            for r, f in zip(callers, finals, strict=True)
-            if f == "not-run" and starts[r["token"]] > 0
-        ),
+        "ran_twice": _ran_twice(callers, starts),
+        "not_run_but_ran": _not_run_but_ran(callers, starts),
         "cut_in_flight": sum(r["cuts"] for r in callers),
-        "over_cap": _over_slots(events)
-        + _over_shift_caps(events, caps, region_of_zone),
+        "over_cap": sum(1 for e in events if e["event"] == "over")
+        + _over_shift_caps(starts, limits),
+        "over_link": _over_links(records.traffic, limits),
+        "late_starts": _late_starts(callers, starts),
+        "started_while_draining": _started_while_draining(starts, limits),
+        "unreadable": records.unreadable,
         **_latencies(answered),
     }
 
 
-def _final(record: dict[str, Any]) -> str:
+def _final(record: Record) -> str:
     """Return what the caller knows in the end."""
     outcomes = record["outcomes"]
     if "answered" in outcomes:
@@ -88,29 +136,75 @@
     return "not-run"
 
 
-def _over_slots(events: list[dict[str, Any]]) -> int:
-    return sum(1 for e in events if e["event"] == "over")
+def _ran_twice(callers: list[Record], starts: list[Record]) -> int:
+    """Count requests that may not be repeated and were.
+
+    Requests whose caller ended before it wrote its record are known from
+    the servers' events only.
+    """
+    repeatable = {r["token"] for r in callers if r["repeatable"]}
+    counts = collections.Counter(
+        e["token"]
+        for e in starts
+        if e["token"] not in repeatable and e["method"] != "GET"
+    )
+    return sum(1 for count in counts.values() if count > 1)
+
+
+def _not_run_but_ran(callers: list[Record], starts: list[Record]) -> int:
+    started = {(e["token"], e["try"]) for e in starts}
+    return sum(
+        1
+        for record in callers
+        for number, outcome in enumerate(record["outcomes"])
+        if outcome in ("not-run", "refused")
+        and (record["token"], number) in started
+    )
+
+
+def _late_starts(callers: list[Record], starts: list[Record]) -> int:
+    """Count starts after the deadline of the try that they belong to."""
+    by_token = {r["token"]: r for r in callers}
+    late = 0
+    for event in starts:
+        record = by_token.get(event["token"])
+        if record is None or not 0 <= event["try"] < len(record["tries"]):
+            continue
+        limit_s = record["deadline_ms"] / 1000.0 + DEADLINE_MARGIN_S
+        late += event["t"] > record["tries"][event["try"]] + limit_s
+    return late
 
 
-def _over_shift_caps(
-    events: list[dict[str, Any]],
-    caps: list[ShiftCap],
-    region_of_zone: dict[str, str],
-) -> int:
+def _started_while_draining(starts: list[Record], limits: Limits) -> int:
+    return sum(
+        1
+        for drain in limits.drains
+        for e in starts
+        if e["server"] == drain.server
+        and drain.at + DRAIN_S < e["t"] < drain.until
+    )
+
+
+def _over_shift_caps(starts: list[Record], limits: Limits) -> int:
     """Count starts beyond a shift's cap in any window of one second."""
-    over = 0
-    for cap in caps:
-        times = sorted(
-            e["t"]
-            for e in events
-            if e["event"] == "start"
-            and e["server"].startswith(f"{cap.service}-")
-            and e["home"] == cap.source
-            and region_of_zone[e["zone"]] == cap.target
-            and cap.first <= e["t"] <= cap.last
-        )
-        over += count_over(times, cap.cap_per_s)
-    return over
+    return sum(
+        count_over(crossing_times(starts, cap, limits), cap.cap_per_s)
+        for cap in limits.shift_caps
+    )
+
+
+def crossing_times(
+    starts: list[Record], cap: ShiftCap, limits: Limits
+) -> list[float]:
+    """Return when requests of a shift's source started at its target."""
+    return sorted(
+        e["t"]
+        for e in starts
+        if e["server"].rpartition("-")[0] == cap.service
+        and e["home"] == cap.source
+        and limits.region_of_zone[e["zone"]] == cap.target
+        and cap.first <= e["t"] <= cap.last
+    )
 
 
 def count_over(times: list[float], cap: int) -> int:
@@ -122,7 +216,37 @@
     )
 
 
-def _latencies(answered: list[dict[str, Any]]) -> dict[str, float]:
+def _over_links(traffic: list[Record], limits: Limits) -> int:
+    """Count the buckets at whose end a link carried more than its rate.
+
+    The relay counts all bytes between two zones, chiverun's own messages
+    included.
+    """
+    if not limits.link_mbit_per_s:
+        return 0
+    cap = limits.link_mbit_per_s * _BYTES_PER_MBIT * WINDOW_S
+    by_link: dict[tuple[str, str], list[Record]] = {}
+    regions = limits.region_of_zone
+    for record in sorted(traffic, key=lambda r: r["t"]):
+        # The store is no zone; its traffic is not chiverun's to limit.
+        source = regions.get(record["source"])
+        target = regions.get(record["destination"])
+        if source and target and source != target:
+            by_link.setdefault((source, target), []).append(record)
+    over = 0
+    for passed in by_link.values():
+        window: collections.deque[Record] = collections.deque()
+        size = 0
+        for record in passed:
+            window.append(record)
+            size += record["bytes"]
+            while window[0]["t"] <= record["t"] - WINDOW_S:
+                size -= window.popleft()["bytes"]
+            over += size > cap
+    return over
+
+
+def _latencies(answered: list[Record]) -> dict[str, float]:
     histogram = HdrHistogram(1, 60_000_000, 3)
     for record in answered:
         histogram.record_value(max(1, int(record["ms"] * 1000)))
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -231,6 +231,7 @@
             return {
                 "token": query.get("token", ""),
                 "home": query.get("home", ""),
+                "try": int(self.headers.get("X-Try", "-1")),
                 "method": self.command,
                 "path": urllib.parse.urlsplit(self.path).path,
             }
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -67,8 +67,10 @@
         self._rate_per_s = rate_per_s
         self._rng = rng
         self._log = log
+        # An instance tells a caller's region by the address it comes from.
+        source = (client, 0) if client.startswith("127.") else None
         self._http = urllib3.PoolManager(
-            num_pools=32, maxsize=2, retries=False
+            num_pools=32, maxsize=2, retries=False, source_address=source
         )
         self._entries: list[str] = []
         self._entries_until = 0.0
@@ -97,6 +99,8 @@
             "method": kind.method,
             "path": kind.path,
             "repeatable": kind.is_repeatable,
+            "deadline_ms": kind.deadline_ms,
+            "tries": [],
             "outcomes": [],
             "cuts": 0,
         }
@@ -115,8 +119,10 @@
                 # Its issuer is the one that may run it.
                 entry = self._keys_entry
             if not entry:
+                record["tries"].append(time.time())
                 record["outcomes"].append("not-run")
                 continue
+            record["tries"].append(time.time())
             outcome = self._try(entry, kind, token, key, record)
             record["outcomes"].append(outcome)
             record["last_entry"] = entry
@@ -126,7 +132,10 @@
             self._entries_until = 0.0
 
     def _try(self, entry: str, kind: Kind, token, key, record) -> str:
-        headers = {"X-Deadline-Ms": str(kind.deadline_ms)}
+        headers = {
+            "X-Deadline-Ms": str(kind.deadline_ms),
+            "X-Try": str(len(record["tries"]) - 1),
+        }
         if key:
             headers["Idempotency-Key"] = key
         url = f"http://{entry}/s/{kind.path}?token={token}&home={self._region}"
@@ -147,6 +156,7 @@
             return "cut"
         outcome = resp.headers.get("X-Chiverun-Outcome", "unknown")
         record["code"] = resp.headers.get("X-Chiverun-Code")
+        record.setdefault("codes", []).append(record["code"])
         record["status"] = resp.status
         if outcome == "answered" and resp.status == 200:
             record["wrong"] = not _is_own(resp.data, token)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -154,6 +154,8 @@
             str(self.folder / "routes.json"),
             "--control",
             self.relay_control,
+            "--log",
+            str(self.folder / "relay.jsonl"),
         )
         for server in deployment.servers(self.spec):
             self.start_server(server)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -31,6 +31,10 @@
     "not_run_but_ran",
     "cut_in_flight",
     "over_cap",
+    "over_link",
+    "late_starts",
+    "started_while_draining",
+    "unreadable",
     "failed_stops",
 )
 
@@ -93,7 +97,8 @@
             callers.append(
                 {
                     "region": region,
-                    "client": f"10.{block}.0.{number + 1}",
+                    "client": f"{cluster.network}"
+                    f"{deployment.CALLERS_FIRST + block - 1}.{number + 1}",
                     "lookups": lookups,
                 }
             )
@@ -146,7 +151,9 @@
         time.sleep(seconds * 0.1)
         clock.submit("0002-shift.toml", 2)
         shift_from = time.time()
+        servers = deployment.servers(spec)
         time.sleep(seconds * 0.2)
+        drain = audit.Drain(server=servers[0].name, at=time.time())
         clock.submit("0003-drain.toml", 3)
         replaced = threading.Thread(
             target=lambda: stops.append(_replace(cluster, names[0]))
@@ -159,6 +166,7 @@
         load.wait(seconds + 60)
         replaced.join()
         failed_stops += sum(1 for code in stops if code != 0)
+        failed_stops += load.returncode != 0
     finally:
         load.kill()
         load.wait()
@@ -173,13 +181,13 @@
         last=shift_to,
     )
     figures = audit.audit(
-        audit.read_lines([cluster.folder / "callers.jsonl"]),
-        audit.read_lines(
-            cluster.folder / f"{s.name}.jsonl"
-            for s in deployment.servers(spec)
+        audit.read_records(cluster.folder, [s.name for s in servers]),
+        audit.Limits(
+            region_of_zone=dict(spec.zones()),
+            shift_caps=(cap,),
+            drains=(drain,),
+            link_mbit_per_s=spec.link_mbit_per_s,
         ),
-        [cap],
-        dict(spec.zones()),
     )
     figures["failed_stops"] = failed_stops
     figures["ticket_in_force_ms_max"] = round(clock.worst_ms)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -18,6 +18,8 @@
 SERVER_PORT = 8080
 STORE = "127.10.0.1:8500"
 SEATS = 12
+# Third number of the addresses that callers of the first zone connect from.
+CALLERS_FIRST = 231
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -235,7 +237,8 @@
     for index, (zone, _) in enumerate(spec.zones()):
         parts.append(
             f'[[site]]\nname = "site-{zone}"\nzone = "{zone}"\n'
-            f'blocks = ["10.{index + 1}.0.0/16"]'
+            f'blocks = ["10.{index + 1}.0.0/16", '
+            f'"{NETWORK}{CALLERS_FIRST + index}.0/24"]'
         )
     return "\n\n".join(parts) + "\n"
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -4,13 +4,20 @@
 destination}``. Commands are lines on the control address: ``cut A B`` stops
 all bytes between zones A and B and closes their connections, ``heal A B``
 lets them pass again; ``*`` stands for every other zone.
+
+With ``--log`` the bytes passed on are written as JSON lines, summed over
+short buckets of time for each pair of zones.
 """
 
 import argparse
 import asyncio
+import collections
 import json
+import time
+from typing import TextIO
 
 _CHUNK = 65536
+BUCKET_S = 0.05
 
 
 class Relay:
@@ -19,6 +26,24 @@
     def __init__(self) -> None:
         self.cuts: set[tuple[str, str]] = set()
         self.connections: dict[asyncio.StreamWriter, tuple[str, str]] = {}
+        self.passed: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    async def write_log(self, log: TextIO) -> None:
+        """Write the bytes passed on in each bucket of time."""
+        while True:
+            await asyncio.sleep(BUCKET_S)
+            passed, self.passed = self.passed, collections.Counter()
+            for (source, destination), size in passed.items():
+                record = {
+                    "t": time.time(),
+                    "source": source,
+                    "destination": destination,
+                    "bytes": size,
+                }
+                log.write(json.dumps(record) + "\n")
+            log.flush()
 
     def is_cut(self, source: str, destination: str) -> bool:
         """Tell whether no byte may pass between two zones."""
@@ -65,16 +90,24 @@
         self.connections[up_writer] = pair
         try:
             await asyncio.gather(
-                _copy(reader, up_writer, latency_s),
-                _copy(up_reader, writer, latency_s),
+                self._copy(reader, up_writer, latency_s, pair),
+                self._copy(up_reader, writer, latency_s, pair[::-1]),
             )
         finally:
             for end in (writer, up_writer):
                 self.connections.pop(end, None)
                 end.close()
 
+    async def _copy(self, reader, writer, latency_s: float, pair) -> None:
+        """Copy bytes and count them for a pair of zones."""
+
+        def count(size: int) -> None:
+            self.passed[pair] += size
+
+        await _copy(reader, writer, latency_s, count)
+
 
-async def _copy(reader, writer, latency_s: float) -> None:
+async def _copy(reader, writer, latency_s: float, count) -> None:
     """Copy bytes, each chunk after the latency, without losing rate."""
     queue: asyncio.Queue = asyncio.Queue()
     loop = asyncio.get_running_loop()
@@ -86,6 +119,7 @@
             if not data:
                 writer.close()
                 return
+            count(len(data))
             writer.write(data)
             await writer.drain()
 
@@ -116,9 +150,10 @@
     writer.close()
 
 
-async def serve(routes: list[dict], control: str) -> None:
+async def serve(routes: list[dict], control: str, log: TextIO) -> None:
     """Serve all routes until ended."""
     relay = Relay()
+    writing = asyncio.ensure_future(relay.write_log(log))
     servers = []
     for route in routes:
         host, _, port = route["listen"].rpartition(":")
@@ -135,7 +170,7 @@
             lambda r, w: _control(relay, r, w), host, int(port)
         )
     )
-    await asyncio.gather(*(s.serve_forever() for s in servers))
+    await asyncio.gather(writing, *(s.serve_forever() for s in servers))
 
 
 def main() -> None:
@@ -143,10 +178,12 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--routes", required=True)
     parser.add_argument("--control", required=True)
+    parser.add_argument("--log", default="/dev/null")
     args = parser.parse_args()
     with open(args.routes, encoding="utf-8") as stream:
         routes = json.load(stream)
-    asyncio.run(serve(routes, args.control))
+    with open(args.log, "a", encoding="utf-8") as log:
+        asyncio.run(serve(routes, args.control, log))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/core/test_shift.py
@@ -0,0 +1,141 @@
+"""Growth of shifts and the selection of instances for moved requests."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from chiverun.core.portions import held_portion
+from chiverun.core.routing import shift_targets
+from chiverun.core.shift import cap_name
+from chiverun.core.shift import followed_by
+from chiverun.core.shift import grow
+from chiverun.core.shift import Measurement
+from chiverun.core.shift import note_refused
+from chiverun.core.shift import select_targets
+from chiverun.core.shift import ShiftProgress
+from chiverun.core.shift import take
+from tests.core import cap_states
+
+_FRESH = Measurement(room=3, age_s=0.5)
+_ZONES = ("a1", "b1", "b2")
+
+
+def _views(now: float, age_s: float = 0.0) -> list:
+    """Return four instances of region b that hold three seats each."""
+    halves = (range(0, 6, 2), range(1, 6, 2))
+    return [
+        cap_states.view(
+            zone,
+            "b",
+            {
+                f"{zone}-{i}": (half, now - age_s)
+                for i, half in enumerate(halves)
+            },
+        )
+        for zone in ("b1", "b2")
+    ]
+
+
+def _targets(shift, age_s: float = 0.0) -> list:
+    state = cap_states.make_state([shift], zones=_ZONES)
+    snapshot = cap_states.snapshot(state, 100.0, zones=_views(100.0, age_s))
+    return shift_targets(snapshot, "a1-0", shift, 100.0)
+
+
+class GrowthTest(unittest.TestCase):
+    @params(
+        (_FRESH, 2.0, 0.2),
+        (None, 2.0, 0.1),
+        (Measurement(room=3, age_s=3.1), 2.0, 0.1),
+        (Measurement(room=0, age_s=0.1), 2.0, 0.1),
+        (_FRESH, 0.9, 0.1),
+    )
+    def test_grows_on_fresh_room_after_the_warm_time(
+        self, measurement, wait_s, expected
+    ):
+        """A missing, stale or full measurement must not speed growth."""
+        progress = ShiftProgress(shift=cap_states.shift())
+        grow(progress, _FRESH, 100.0)
+        self.assertEqual(0.1, progress.fraction)
+        grow(progress, measurement, 100.0 + wait_s)
+        self.assertAlmostEqual(expected, progress.fraction)
+
+    def test_first_request_after_a_gap_grows_one_step(self):
+        """A late call must not make up for steps: caches are cold."""
+        progress = ShiftProgress(shift=cap_states.shift())
+        grow(progress, _FRESH, 0.0)
+        grow(progress, _FRESH, 1000.0)
+        self.assertAlmostEqual(0.2, progress.fraction)
+
+    def test_whole_region_is_moved_at_fraction_one(self):
+        """A drain of a region must not leave a rest behind."""
+        progress = ShiftProgress(shift=cap_states.shift(fraction=1.0))
+        for step in range(10):
+            grow(progress, _FRESH, step * 1.0)
+        self.assertTrue(all(take(progress) for _ in range(1000)))
+
+    @params((0.5, 0.4), (0.2, 0.2))
+    def test_changed_shift_keeps_its_fraction(self, goal, expected):
+        """A change of cap must not move traffic back at once."""
+        progress = ShiftProgress(shift=cap_states.shift(), fraction=0.4)
+        changed = followed_by(progress, cap_states.shift(fraction=goal))
+        self.assertEqual(expected, changed.fraction)
+
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    @given(st.floats(0.01, 1.0), st.integers(1, 500))
+    def test_diffusion_stays_within_one_of_the_fraction(self, fraction, n):
+        """Random draws would differ by their deviation."""
+        progress = ShiftProgress(shift=cap_states.shift(), fraction=fraction)
+        moved = sum(take(progress) for _ in range(n))
+        self.assertLessEqual(abs(moved - fraction * n), 1.0 + 1e-6)
+
+
+class TargetTest(unittest.TestCase):
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    @given(st.integers(1, 40))
+    def test_portions_add_up_and_none_is_zero(self, cap):
+        """With a cap of 1 only one of four instances admits anything."""
+        targets = _targets(cap_states.shift(cap_per_s=cap))
+        self.assertEqual(cap, sum(t.portion for t in targets))
+        self.assertTrue(all(t.portion for t in targets))
+
+    def test_cap_of_one_reaches_its_only_holder(self):
+        """By free slots alone the holder could be tried last or never."""
+        shift = cap_states.shift(cap_per_s=1)
+        progress = ShiftProgress(shift=shift, fraction=1.0)
+        state = cap_states.make_state([shift], zones=_ZONES)
+        first = select_targets(progress, _targets(shift), 0.0)[0]
+        portion = held_portion(
+            state, cap_name(shift), 1, first.zone, first.addresses.seats
+        )
+        self.assertEqual(1, portion)
+
+    def test_offers_follow_the_portions(self):
+        """Always offering to the emptiest wastes the others' parts."""
+        shift = cap_states.shift(cap_per_s=18)
+        progress = ShiftProgress(shift=shift)
+        targets = _targets(shift)
+        firsts = [select_targets(progress, targets, 0.0)[0] for _ in range(90)]
+        for target in targets:
+            offered = firsts.count(target)
+            self.assertAlmostEqual(90 * target.portion / 18, offered, delta=1)
+
+    def test_refusing_instance_rests(self):
+        """Each refusal costs a moved request a round trip."""
+        shift = cap_states.shift(cap_per_s=12)
+        progress = ShiftProgress(shift=shift)
+        targets = _targets(shift)
+        for target in targets:
+            note_refused(progress, target, 10.0)
+        self.assertEqual([], select_targets(progress, targets, 10.1))
+        later = select_targets(progress, targets, 10.0 + 1.25)
+        self.assertEqual(2, len(later))
+
+    @params((0.0, 4), (6.0, 0))
+    def test_instances_not_heard_of_are_left_out(self, age_s, count):
+        """Each try of one that is cut off costs a connect timeout."""
+        shift = cap_states.shift(cap_per_s=12)
+        self.assertEqual(count, len(_targets(shift, age_s)))
