--- /dev/null
+++ b/tests/runtime/test_healthcheck.py
@@ -0,0 +1,153 @@
+"""Each sign that a server leaves must be found in time (P6)."""
+
+import threading
+import unittest
+
+from nose2.tools import params
+
+from chiverun.core.clock import ManualClock
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import NotSent
+from chiverun.core.exchange import Shed
+from chiverun.core.exchange import ShedReason
+from chiverun.core.ids import ZoneName
+from chiverun.core.ticket import Server
+from chiverun.integrations.interfaces import ListedInstance
+from chiverun.integrations.interfaces import StoreUnavailable
+from chiverun.runtime.healthcheck import HealthCheck
+from chiverun.runtime.healthcheck import is_draining
+from tests.core import cap_states
+
+_DRAINING = Answered(status=200, headers=(("X-Shed", "draining"),), body=b"")
+_LIMIT_S = 30.0
+
+
+class _Plane:
+    """A control plane with servers of its zone."""
+
+    class identity:
+        zone = ZoneName("b1")
+
+    def __init__(self, servers: int, watches: bool = True) -> None:
+        state = cap_states.make_state()
+        objects = {
+            **state.objects,
+            "server": {
+                f"s-{i}": Server(
+                    name=f"s-{i}",
+                    service="s",
+                    zone="b1",
+                    address=f"127.0.0.1:{i + 1}",
+                    slots=4,
+                )
+                for i in range(servers)
+            },
+        }
+        state = type(state)(number=1, digest="", objects=objects)
+        self.snapshot = cap_states.snapshot(state, 0.0)
+        self._watches = watches
+
+    def is_watcher(self) -> bool:
+        return self._watches
+
+
+class _Backends:
+    """All servers hang until released but the last, which drains."""
+
+    def __init__(self, draining: str) -> None:
+        self.released = threading.Event()
+        self.calls: list[str] = []
+        self._draining = draining
+
+    def exchange(self, address, _req):
+        self.calls.append(address)
+        if address == self._draining:
+            return _DRAINING
+        self.released.wait(_LIMIT_S)
+        return NotSent(detail="hung")
+
+
+class _List:
+    def __init__(self, names: dict[str, bool] | None) -> None:
+        self._names = names
+
+    def fetch(self, service: str) -> list[ListedInstance]:
+        if self._names is None:
+            raise StoreUnavailable("down")
+        return [
+            ListedInstance(
+                service=service,
+                name=name,
+                address="127.0.0.1:1",
+                leaving=leaving,
+            )
+            for name, leaving in self._names.items()
+        ]
+
+
+def _health(plane, backends=None, instances=None, report=print):
+    return HealthCheck(
+        clock=ManualClock(),
+        plane=plane,
+        backends=backends,
+        instances=instances,
+        report=report,
+    )
+
+
+class HealthCheckTest(unittest.TestCase):
+    @params(6, 33)
+    def test_hung_servers_hold_up_nothing(self, count):
+        """Checked in turn, 32 hung servers would delay a sign by 16 s."""
+        backends = _Backends(f"127.0.0.1:{count}")
+        found = threading.Event()
+        reports = []
+
+        def report(event):
+            reports.append(event.servers)
+            found.set()
+
+        health = _health(_Plane(count), backends, report=report)
+        try:
+            health.check_servers()
+            self.assertTrue(found.wait(_LIMIT_S))
+            self.assertFalse(backends.released.is_set())
+            self.assertEqual([{f"s-{count - 1}"}], reports)
+        finally:
+            backends.released.set()
+
+    def test_hung_server_is_checked_once_at_a_time(self):
+        """Each round would add threads that wait for the same server."""
+        backends = _Backends("none")
+        health = _health(_Plane(3), backends)
+        for _ in range(5):
+            health.check_servers()
+        backends.released.set()
+        self.assertLessEqual(len(backends.calls), 3)
+
+    @params(
+        ({"s-1": True, "s-2": False, "other": True}, True, [{"s-1"}]),
+        ({"s-1": True}, False, []),
+        (None, True, []),
+    )
+    def test_list_is_read_by_watchers(self, names, watches, expected):
+        """A list that fails, or names of other zones, change nothing."""
+        reports = []
+        health = _health(
+            _Plane(3, watches),
+            instances=_List(names),
+            report=lambda event: reports.append(event.servers),
+        )
+        health.read_list()
+        self.assertEqual(expected, reports)
+
+    @params(
+        (_DRAINING, True),
+        (Shed(reason=ShedReason.DRAINING), True),
+        (Shed(reason=ShedReason.OVERLOAD), False),
+        (Answered(status=200, headers=(), body=b""), False),
+        (NotSent(detail=""), False),
+    )
+    def test_signs_of_a_response(self, end, expected):
+        """An overloaded or unreachable server is not a draining one."""
+        self.assertEqual(expected, is_draining(end))
