Keep the instance list's last signs while it cannot be read; measure stops

Change: a watcher repeats what the list said last while reads fail. Add measures of drains, shifts and rolling replacements.

--- a/chiverun/runtime/healthcheck.py
+++ b/chiverun/runtime/healthcheck.py
@@ -1,5 +1,6 @@
 """Polls backend servers and the instance list for servers that leave."""
 
+import contextlib
 import threading
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -56,6 +57,7 @@
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._checking: set[ServerName] = set()
+        self._listed: dict[str, frozenset[ServerName]] = {}
         self._threads = [
             threading.Thread(
                 target=self._repeat, args=args, daemon=True, name="health"
@@ -110,18 +112,24 @@
                 self._checking.discard(server.name)
 
     def read_list(self) -> None:
-        """Read the instance list, on the zone's watchers only."""
+        """Read the instance list, on the zone's watchers only.
+
+        While it cannot be read, what it said last holds: a server that is
+        leaving does not come back because the platform is down.
+        """
         if self._instances is None or not self._plane.is_watcher():
             return
         known = {s.name for s in self._servers()}
         for service in self._plane.snapshot.state.of(Service):
-            try:
-                listed = self._instances.fetch(service)
-            except StoreUnavailable:
-                continue
-            names = frozenset(ServerName(i.name) for i in listed if i.leaving)
-            if names & known:
-                self._report(ServersLeaving(servers=names & known))
+            with contextlib.suppress(StoreUnavailable):
+                self._listed[service] = frozenset(
+                    ServerName(i.name)
+                    for i in self._instances.fetch(service)
+                    if i.leaving
+                )
+            names = self._listed.get(service, frozenset()) & known
+            if names:
+                self._report(ServersLeaving(servers=names))
 
     def _servers(self) -> list[Server]:
         zone = self._plane.identity.zone
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,9 +2,11 @@
 
 ``GET /healthz`` and ``GET /load`` are its endpoints; any other path is work.
 ``POST /admin`` switches faults: ``slow`` (factor of the service time),
-``draining``, ``reset_after`` (number of following requests that run and then
-reset), ``short_answers`` (number of answers cut in the middle), ``dead``
-(closes each connection), ``wrong_id``, ``lag_s`` of the load endpoint.
+``draining`` (sheds work and says so), ``draining_work`` (only sheds work),
+``draining_health`` (only says so), ``reset_after`` (number of following
+requests that run and then reset), ``short_answers`` (number of answers cut in
+the middle), ``dead`` (closes each connection), ``wrong_id``, ``lag_s`` of the
+load endpoint.
 
 The log has one JSON line for each event: ``start`` when a request begins to
 run, ``end`` when its answer is ready, ``cancel``, ``shed``, and ``over`` when
@@ -56,6 +58,8 @@
         self.faults: dict[str, Any] = {
             "slow": 1.0,
             "draining": False,
+            "draining_work": False,
+            "draining_health": False,
             "reset_after": 0,
             "short_answers": 0,
             "wrong_id": 0,
@@ -95,7 +99,7 @@
     def begin(self, fields: dict[str, Any]) -> str | None:
         """Take a slot; return the reason if the request is shed."""
         with self.lock:
-            if self.faults["draining"]:
+            if self.faults["draining"] or self.faults["draining_work"]:
                 self.note("shed", reason="draining", **fields)
                 return "draining"
             if self.running >= self.slots:
@@ -155,7 +159,9 @@
         def _health(self) -> None:
             if backend.faults["dead"]:
                 self._reset()
-            elif backend.faults["draining"]:
+            elif (
+                backend.faults["draining"] or backend.faults["draining_health"]
+            ):
                 self.reply_json({}, **{"X-Shed": "draining"})
             else:
                 self.reply_json({"state": "active"})
--- /dev/null
+++ b/standins/measure_stops.py
@@ -0,0 +1,435 @@
+"""Measures drains, shifts and rolling replacements on real processes.
+
+Each function starts a deployment on loopback, sends callers' load, and
+yields one dictionary for each result, audited from the backend servers' own
+logs. ``python -m standins.measure_stops NAME --seed N`` prints JSON lines.
+"""
+
+import argparse
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+from standins import audit
+from standins import demo
+from standins import deployment
+from standins.cluster import Cluster
+from standins.cluster import running
+from standins.cluster import source_program
+from standins.cluster import wait_until
+from standins.deployment import ServerSpec
+
+Result = dict[str, Any]
+_SETTLE_S = 3.0
+_DRAIN_S = 7.0
+_LIST_LAG_S = 5.0
+_SECOND_SIGNAL_S = 0.5
+_AUDITED = (
+    "requests",
+    "answered",
+    "not_run",
+    "unknown",
+    "wrong_answers",
+    "ran_twice",
+    "not_run_but_ran",
+    "cut_in_flight",
+    "over_cap",
+    "over_link",
+    "late_starts",
+    "started_while_draining",
+    "unreadable",
+    "p50_ms",
+    "p99_ms",
+)
+
+
+class Run:
+    """A running deployment with callers' load."""
+
+    def __init__(self, cluster: Cluster, load: subprocess.Popen) -> None:
+        self.cluster = cluster
+        self.spec = cluster.spec
+        self.load = load
+        self.tickets = 1
+
+    def submit(self, text: str) -> float:
+        """Submit a ticket; return when the last instance had it."""
+        self.tickets += 1
+        path = self.cluster.folder / "tickets" / f"{self.tickets}.toml"
+        path.write_text(self.cluster.local(text))
+        code, output = self.cluster.submit(path.name)
+        if code != 0:
+            raise RuntimeError(output)
+        names = [
+            i.name
+            for i in deployment.instances(self.spec)
+            if i.name in self.cluster.processes
+        ]
+
+        def in_force() -> bool:
+            found = [self.cluster.status(name) for name in names]
+            return all(s and s["number"] >= self.tickets for s in found)
+
+        wait_until(in_force, 30.0, f"ticket {self.tickets} in force")
+        return time.time()
+
+    def finish(self) -> None:
+        """Wait for the callers' end."""
+        if self.load.wait(120) != 0:
+            raise RuntimeError("the callers failed")
+
+    def records(self) -> audit.Records:
+        """Read the logs."""
+        return audit.read_records(
+            self.cluster.folder,
+            [s.name for s in deployment.servers(self.spec)],
+        )
+
+    def limits(self, **changes) -> audit.Limits:
+        """Return what must have been kept."""
+        return audit.Limits(
+            region_of_zone=dict(self.spec.zones()),
+            link_mbit_per_s=self.spec.link_mbit_per_s,
+            **changes,
+        )
+
+    def figures(self, **changes) -> Result:
+        """Return the audited figures."""
+        figures = audit.audit(self.records(), self.limits(**changes))
+        return {name: figures[name] for name in _AUDITED}
+
+
+@contextlib.contextmanager
+def loaded(name: str, seconds: float, seed: int) -> Iterator[Run]:
+    """Start a deployment and its callers; end all."""
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = pathlib.Path(temporary)
+        cluster = Cluster(
+            spec=deployment.SPECS[name],
+            folder=folder,
+            program=source_program(),
+        )
+        with running(cluster):
+            load = demo.start_callers(cluster, seconds, seed)
+            try:
+                time.sleep(_SETTLE_S)
+                yield Run(cluster, load)
+            finally:
+                load.kill()
+                load.wait()
+
+
+def _machine() -> str:
+    pages = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return f"{os.cpu_count()} cores, {pages >> 30} GB"
+
+
+# Drains.
+
+
+def drain(seed: int) -> Iterator[Result]:
+    """Drain one server by each sign alone."""
+    with loaded("inzira", 9 * _DRAIN_S, seed) as run:
+        cluster = run.cluster
+        servers = deployment.servers(run.spec)
+        drained: dict[str, audit.Drain] = {}
+
+        def by_fault(fault: str) -> Callable[[ServerSpec], None]:
+            return lambda s: cluster.admin(s.address, **{fault: True})
+
+        def by_ticket(server: ServerSpec) -> None:
+            run.submit(
+                deployment.drain_ticket(run.spec, run.tickets + 1, server)
+            )
+
+        def by_list(server: ServerSpec) -> None:
+            cluster.admin(deployment.STORE, leaving=[server.name])
+
+        store = deployment.STORE
+        cluster.admin(
+            store,
+            lag_s=0.0,
+            services={
+                service.name: {
+                    s.name: cluster.local(s.address)
+                    for s in servers
+                    if s.service is service
+                }
+                for service in run.spec.services
+            },
+        )
+        for number, (name, sign, store_faults) in enumerate(
+            (
+                ("ticket", by_ticket, {}),
+                ("instance list", by_list, {}),
+                ("lagging list only", by_list, {"lag_s": _LIST_LAG_S}),
+                ("health, no store", by_fault("draining_health"), None),
+                ("own response, no store", by_fault("draining_work"), None),
+                ("server, no store", by_fault("draining"), None),
+            )
+        ):
+            order = {"outage": True} if store_faults is None else store_faults
+            cluster.admin(store, **order)
+            time.sleep(1.0)
+            server = servers[number]
+            drained[name] = audit.Drain(server=server.name, at=time.time())
+            sign(server)
+            time.sleep(_DRAIN_S)
+        cluster.admin(store, outage=False)
+        run.finish()
+        records = run.records()
+        for name, one in drained.items():
+            yield _drain_result(run, name, one, records, seed)
+        # A list that lags 5 s cannot be in time; the others must be.
+        yield {
+            "measure": "drain",
+            "case": "all",
+            "seed": seed,
+            "machine": _machine(),
+            **run.figures(
+                drains=tuple(
+                    d for n, d in drained.items() if n != "lagging list only"
+                )
+            ),
+        }
+
+
+def _drain_result(
+    run: Run, name: str, one: audit.Drain, records: audit.Records, seed: int
+) -> Result:
+    """Return the time from a drain to the last work sent to its server."""
+    sent = [
+        e["t"] - one.at
+        for e in records.events
+        if e["server"] == one.server and e["event"] in ("start", "shed")
+    ]
+    after = [t for t in sent if 0 <= t <= _DRAIN_S]
+    return {
+        "measure": "drain",
+        "case": name,
+        "seed": seed,
+        "machine": _machine(),
+        "deployment": run.spec.name,
+        "server": one.server,
+        "sent_in_3_s_before": sum(1 for t in sent if -3 <= t < 0),
+        "sent_after_drain": len(after),
+        "last_work_ms": round(max(after, default=0.0) * 1000),
+    }
+
+
+# Shifts.
+
+
+def shift(seed: int) -> Iterator[Result]:
+    """Shift under a cap while instances of the target are replaced."""
+    with loaded("inzira", 62.0, seed) as run:
+        target = run.spec.regions[0]
+        names = [
+            i.name
+            for i in deployment.instances(run.spec)
+            if i.region == target
+        ]
+        cases = (
+            (0.5, 20, lambda: _replace(run, names[0])),
+            (0.5, 8, lambda: _crash(run, names[2])),
+            (1.0, 2, lambda: None),
+            (1.0, 500, lambda: None),
+        )
+        caps = []
+        for fraction, cap_per_s, event in cases:
+            text = deployment.shift_ticket(
+                run.spec,
+                run.tickets + 1,
+                fraction=fraction,
+                cap_per_s=cap_per_s,
+            )
+            began = time.time()
+            first = run.submit(text)
+            event()
+            time.sleep(max(0.0, began + 12.0 - time.time()))
+            caps.append(
+                (
+                    fraction,
+                    audit.ShiftCap(
+                        service=run.spec.services[0].name,
+                        source=run.spec.regions[1],
+                        target=target,
+                        cap_per_s=cap_per_s,
+                        first=first,
+                        last=time.time(),
+                    ),
+                )
+            )
+        run.finish()
+        records = run.records()
+        for fraction, cap in caps:
+            yield _shift_result(run, records, fraction, cap, seed)
+        yield {
+            "measure": "shift",
+            "case": "all",
+            "seed": seed,
+            "machine": _machine(),
+            **run.figures(shift_caps=tuple(cap for _, cap in caps)),
+        }
+
+
+def _shift_result(
+    run: Run,
+    records: audit.Records,
+    fraction: float,
+    cap: audit.ShiftCap,
+    seed: int,
+) -> Result:
+    """Return the rate of a shift against its cap and its goal.
+
+    The naive version moves the same requests by random draws, uncapped.
+    """
+    starts = [e for e in records.events if e["event"] == "start"]
+    moved = audit.crossing_times(starts, cap, run.limits())
+    offered = sorted(
+        r["t"]
+        for r in records.callers
+        if r["region"] == cap.source
+        and r["path"].startswith(f"{cap.service}/")
+        and cap.first <= r["t"] <= cap.last
+    )
+    rng = random.Random(seed)
+    naive = [t for t in offered if rng.random() < fraction]
+    seconds = cap.last - cap.first
+    return {
+        "measure": "shift",
+        "case": f"fraction {fraction}, cap {cap.cap_per_s}/s",
+        "seed": seed,
+        "machine": _machine(),
+        "offered_per_s": round(len(offered) / seconds, 1),
+        "moved_per_s": round(len(moved) / seconds, 1),
+        "moved_in_last_half_per_s": round(
+            sum(1 for t in moved if t > cap.last - seconds / 2)
+            / (seconds / 2),
+            1,
+        ),
+        "most_in_a_second": _most_in_a_second(moved),
+        "over": audit.count_over(moved, cap.cap_per_s),
+        "goal_reached_s": _goal_reached_s(moved, offered, fraction, cap),
+        "naive_most_in_a_second": _most_in_a_second(naive),
+        "naive_over": audit.count_over(naive, cap.cap_per_s),
+    }
+
+
+def _most_in_a_second(times: list[float]) -> int:
+    most = first = 0
+    for index, at in enumerate(times):
+        while times[first] <= at - audit.WINDOW_S:
+            first += 1
+        most = max(most, index - first + 1)
+    return most
+
+
+def _goal_reached_s(
+    moved: list[float],
+    offered: list[float],
+    fraction: float,
+    cap: audit.ShiftCap,
+) -> float | None:
+    """Return the time until 2 s with 90% of the goal or 70% of the cap."""
+    span_s = 2.0
+    for step in range(int((cap.last - cap.first - span_s) * 10)):
+        begin = cap.first + step / 10
+        count = sum(1 for t in moved if begin <= t < begin + span_s)
+        asked = sum(1 for t in offered if begin <= t < begin + span_s)
+        if not asked:
+            continue
+        if count >= min(0.9 * fraction * asked, 0.7 * cap.cap_per_s * span_s):
+            return round(step / 10, 1)
+    return None
+
+
+def _replace(run: Run, name: str) -> int:
+    """Stop an instance by repeated signals and start it again."""
+    cluster = run.cluster
+    cluster.signal(name, signal.SIGTERM)
+    time.sleep(_SECOND_SIGNAL_S)
+    cluster.signal(name, signal.SIGINT)
+    code = cluster.stop(name)
+    cluster.start_instance(name)
+    cluster.wait_ready([name])
+    return code
+
+
+def _crash(run: Run, name: str) -> int:
+    """End an instance at once and start it again."""
+    run.cluster.kill(name)
+    run.cluster.start_instance(name)
+    run.cluster.wait_ready([name])
+    return 0
+
+
+# Rolling replacements.
+
+
+def rolling(seed: int) -> Iterator[Result]:
+    """Replace every instance of both deployments, gracefully and at once."""
+    for name in sorted(deployment.SPECS):
+        for case, replace in (("graceful", _replace), ("at once", _crash)):
+            yield replace_all(name, case, replace, seed)
+
+
+def replace_all(
+    name: str, case: str, replace: Callable[[Run, str], int], seed: int
+) -> Result:
+    """Replace all instances, one at a time in each region."""
+    with loaded(name, 55.0, seed) as run:
+        codes: list[int] = []
+
+        def replace_region(region: str) -> None:
+            for instance in deployment.instances(run.spec):
+                if instance.region == region:
+                    codes.append(replace(run, instance.name))
+
+        started = time.monotonic()
+        threads = [
+            threading.Thread(target=replace_region, args=(region,))
+            for region in run.spec.regions
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        taken_s = time.monotonic() - started
+        run.finish()
+        return {
+            "measure": "rolling",
+            "case": case,
+            "seed": seed,
+            "machine": _machine(),
+            "deployment": name,
+            "replaced": len(codes),
+            "failed_stops": sum(1 for code in codes if code != 0),
+            "seconds": round(taken_s, 1),
+            **run.figures(),
+        }
+
+
+def main() -> None:
+    """Print the results of one measure."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("name", choices=("drain", "shift", "rolling"))
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    measures = {"drain": drain, "shift": shift, "rolling": rolling}
+    for result in measures[args.name](args.seed):
+        print(json.dumps(result), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/runtime/test_healthcheck.py
+++ b/tests/runtime/test_healthcheck.py
@@ -69,10 +69,10 @@
 
 class _List:
     def __init__(self, names: dict[str, bool] | None) -> None:
-        self._names = names
+        self.names = names
 
     def fetch(self, service: str) -> list[ListedInstance]:
-        if self._names is None:
+        if self.names is None:
             raise StoreUnavailable("down")
         return [
             ListedInstance(
@@ -81,7 +81,7 @@
                 address="127.0.0.1:1",
                 leaving=leaving,
             )
-            for name, leaving in self._names.items()
+            for name, leaving in self.names.items()
         ]
 
 
@@ -141,6 +141,20 @@
         health.read_list()
         self.assertEqual(expected, reports)
 
+    def test_list_that_fails_takes_nothing_back(self):
+        """A sign lapses; the server would get work while the list is down."""
+        reports = []
+        listed = _List({"s-1": True})
+        health = _health(
+            _Plane(3),
+            instances=listed,
+            report=lambda event: reports.append(event.servers),
+        )
+        for names in ({"s-1": True}, None, None, {"s-1": False}, None):
+            listed.names = names
+            health.read_list()
+        self.assertEqual([{"s-1"}] * 3, reports)
+
     @params(
         (_DRAINING, True),
         (Shed(reason=ShedReason.DRAINING), True),
