Issue keys and list instances only once they can serve

Cause: an instance that had just started issued keys before it held seats and was listed before it had a ticket; its requests were refused as not run, and peers that did not know it answered that the outcome is unknown.

Change: keys are issued when the instance is ready; adverts without a ticket are not listed; a handover that does not end in time is logged.

--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -938,6 +938,9 @@
     def _is_listed(self, row: Member, now: float) -> bool:
         if row.advert is None or row.advert.leaving:
             return False
+        if row.advert.number == 0:
+            # It has just started and would refuse every request.
+            return False
         if row.zone == self.identity.zone:
             return row.is_live
         return now - row.measured_at <= REMOTE_LISTED_S
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -277,7 +277,17 @@
         if not self._wait(lambda: self._in_flight() == 0, self._finish_s()):
             _LOG.warning("requests left", extra={"count": self._in_flight()})
         self._tell(HandOver())
-        self._wait(lambda: self._plane.has_handed_over, HAND_OVER_LIMIT_S)
+        if not self._wait(
+            lambda: self._plane.has_handed_over, HAND_OVER_LIMIT_S
+        ):
+            seats = self._plane.seats
+            _LOG.warning(
+                "seats left",
+                extra={
+                    "in_use": sorted(seats.releasing),
+                    "not_taken": sorted(seats.transfers),
+                },
+            )
         try:
             # Its queue holds the last change of the seats' record.
             self._worker.stop(block=True, timeout=HAND_OVER_LIMIT_S)
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -96,21 +96,22 @@
                 ResultCode.REQUEST_MALFORMED,
                 f"count is {text!r}; valid: 1 to {KEYS_PER_CALL_MAX}",
             )
-        if self._sources.plane.state.number == 0:
-            # Its requests would be refused here, and no other instance
-            # could tell whether they ran.
+        if self._sources.plane.is_leaving:
             return error_reply(
                 503,
                 Outcome.NOT_RUN,
-                ResultCode.NOT_READY,
-                "no ticket is in force here; ask another instance",
+                ResultCode.LEAVING,
+                "this instance is stopping; ask another",
             )
-        if self._sources.plane.is_leaving:
+        reasons = self._unready()
+        if reasons:
+            # A request with such a key would be refused here, and peers that
+            # do not know this instance yet could not tell that it never ran.
             return error_reply(
                 503,
                 Outcome.NOT_RUN,
-                ResultCode.LEAVING,
-                "this instance is stopping; ask another",
+                ResultCode.NOT_READY,
+                f"{', '.join(reasons)}; ask another instance",
             )
         identity = self._sources.plane.identity
         return json_reply(
@@ -122,6 +123,13 @@
         )
 
     def _ready(self) -> Reply:
+        reasons = self._unready()
+        return json_reply(
+            {"ready": not reasons, "reasons": reasons},
+            status=503 if reasons else 200,
+        )
+
+    def _unready(self) -> list[str]:
         """Ready means: has a state, holds seats, and is not leaving."""
         plane = self._sources.plane
         reasons = []
@@ -135,10 +143,7 @@
             reasons.append("the instance is leaving")
         if plane.fork:
             reasons.append(plane.fork)
-        return json_reply(
-            {"ready": not reasons, "reasons": reasons},
-            status=503 if reasons else 200,
-        )
+        return reasons
 
 
 def _query(req: Incoming) -> dict[str, str]:
