--- a/chiverun/core/limits.py
+++ b/chiverun/core/limits.py
@@ -109,6 +109,9 @@
             if not self.bytes_per_s:
                 return 1.0
             return max(_WAIT_MIN_S, missing / self.bytes_per_s)
+        if booking.size > self.bytes_per_s:
+            # In one piece it is more than a second may carry.
+            return 1.0
         while self._sent and self._sent[0][0] <= now - BYTE_WINDOW_S:
             self._sent_bytes -= self._sent.popleft()[1]
         if self._sent and self._sent_bytes + booking.size > self.bytes_per_s:
--- a/chiverun/core/links.py
+++ b/chiverun/core/links.py
@@ -25,9 +25,9 @@
 _OVERHEAD_BYTES = 1024
 # A waiting message looks again after this, since the rate may have changed.
 _RECHECK_S = 0.25
-# The expected size of a class is the largest response seen, which fades by
-# this factor with each response, with a margin.
-_SIZE_FADE = 0.98
+# The expected size of a class is the largest response seen, with a margin.
+# It fades, so that one large response does not close a link for its class.
+_SIZE_HALVES_IN_S = 60.0
 _SIZE_MARGIN = 1.5
 
 
@@ -55,17 +55,21 @@
     """
 
     def __init__(self) -> None:
-        self._largest: dict[str, float] = {}
+        self._largest: dict[str, tuple[float, float]] = {}
 
-    def expected(self, name: str, most: int) -> int:
-        """Return the bytes to reserve; `most` until one was seen."""
-        seen = self._largest.get(name)
-        return most if seen is None else min(most, int(seen * _SIZE_MARGIN))
+    def expected(self, name: str, now: float) -> int | None:
+        """Return the expected bytes, None if no response was seen."""
+        if name not in self._largest:
+            return None
+        size, seen_at = self._largest[name]
+        faded = size * 0.5 ** ((now - seen_at) / _SIZE_HALVES_IN_S)
+        return int(faded * _SIZE_MARGIN)
 
-    def note(self, name: str, actual: int) -> None:
+    def note(self, name: str, actual: int, now: float) -> None:
         """Note the size of a response."""
-        faded = self._largest.get(name, 0.0) * _SIZE_FADE
-        self._largest[name] = max(faded, float(actual))
+        expected = self.expected(name, now) or 0
+        if actual * _SIZE_MARGIN >= expected:
+            self._largest[name] = (float(actual), now)
 
 
 class Links:
@@ -142,15 +146,25 @@
     def reserve_response(
         self, target: RegionName, name: str, most: int, limit_s: float
     ) -> Reservation | None:
-        """Admit the response to a request of a class before it runs."""
+        """Admit the response to a request of a class before it runs.
+
+        A class whose responses are larger than what a second of this
+        portion carries is refused, since they could not be sent.
+        """
+        most += _OVERHEAD_BYTES
         with self._lock:
-            expected = self._sizes.expected(name, most + _OVERHEAD_BYTES)
-        return self.reserve(target, expected, limit_s)
+            expected = self._sizes.expected(name, self._clock.monotonic())
+            rate = self._rates.get(target)
+            if rate is None or (expected or 0) > rate.bytes_per_s:
+                return None
+        if expected is not None:
+            most = min(most, expected)
+        return self.reserve(target, most, limit_s)
 
     def note_response(self, name: str, actual: int) -> None:
         """Note the true size of a response of a class."""
         with self._lock:
-            self._sizes.note(name, actual)
+            self._sizes.note(name, actual, self._clock.monotonic())
 
     def cancel(self, reservation: Reservation) -> None:
         """Give back a reservation whose message is not sent."""
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -123,26 +123,28 @@
         )
 
     def _ready(self) -> Reply:
+        """Ready means: can serve, holds confirmed seats, is not leaving."""
+        plane = self._sources.plane
         reasons = self._unready()
+        if plane.seats.suspended_at is not None:
+            reasons.append("seats are suspended after a pause")
+        if plane.is_leaving:
+            reasons.append("the instance is leaving")
+        if plane.fork:
+            reasons.append(plane.fork)
         return json_reply(
             {"ready": not reasons, "reasons": reasons},
             status=503 if reasons else 200,
         )
 
     def _unready(self) -> list[str]:
-        """Ready means: has a state, holds seats, and is not leaving."""
+        """Return what a process that has just started still lacks."""
         plane = self._sources.plane
         reasons = []
         if plane.state.number == 0:
             reasons.append("no ticket is in force here")
         if not plane.seats.held:
             reasons.append("no seat is held")
-        if plane.seats.suspended_at is not None:
-            reasons.append("seats are suspended after a pause")
-        if plane.is_leaving:
-            reasons.append("the instance is leaving")
-        if plane.fork:
-            reasons.append(plane.fork)
         return reasons
 
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -6,7 +6,7 @@
 ``draining_health`` (only says so), ``reset_after`` (number of following
 requests that run and then reset), ``short_answers`` (number of answers cut in
 the middle), ``dead`` (closes each connection), ``wrong_id``, ``lag_s`` of the
-load endpoint.
+load endpoint, ``answer_bytes`` added to each answer.
 
 The log has one JSON line for each event: ``start`` when a request begins to
 run, ``end`` when its answer is ready, ``cancel``, ``shed``, and ``over`` when
@@ -64,6 +64,7 @@
             "short_answers": 0,
             "wrong_id": 0,
             "dead": False,
+            "answer_bytes": 0,
             "lag_s": 2.0,
             "cold": True,
         }
@@ -205,7 +206,11 @@
             if backend.take_fault("wrong_id"):
                 request_id = "another"
             answer = json.dumps(
-                {"server": backend.name, "token": fields["token"]}
+                {
+                    "server": backend.name,
+                    "token": fields["token"],
+                    "padding": "x" * backend.faults["answer_bytes"],
+                }
             ).encode()
             if backend.take_fault("short_answers"):
                 self.wfile.write(
