--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -23,6 +23,7 @@
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.health import aged_slowness
 from chiverun.core.health import mark_draining
+from chiverun.core.health import note_returned
 from chiverun.core.health import observe_at_least
 from chiverun.core.health import record
 from chiverun.core.health import ServerHealth
@@ -40,6 +41,9 @@
 from chiverun.core.portions import held_portion
 from chiverun.core.portions import region_zones
 from chiverun.core.shift import active_shift
+from chiverun.core.shift import cap_name
+from chiverun.core.shift import SHIFT_JITTER_S
+from chiverun.core.shift import SHIFT_WINDOW_S
 from chiverun.core.slots import RegionUnits
 from chiverun.core.slots import ServerSlots
 from chiverun.core.slots import SlotTable
@@ -66,8 +70,6 @@
 # Covers clock differences between an instance and a backend server, which
 # enforces absolute deadlines.
 CLOCK_MARGIN_S = 0.25
-# One second plus the jitter between admission and arrival at the server.
-SHIFT_WINDOW_S = 1.25
 QUEUE_PER_SLOT_MAX = 8
 QUEUE_MIN = 16
 # A queued request is given up when less time is left than this quantile of
@@ -80,13 +82,15 @@
 class Work:
     """A request to admit; `deadline` is monotonic seconds.
 
-    `source_region` is the region of the instance that received it.
+    `source_region` is the region of the instance that received it and
+    `origin_region` that of the caller, None if it is not known.
     """
 
     service: ServiceName
     request_class: RequestClass
     source_region: RegionName
     deadline: float
+    origin_region: RegionName | None = None
 
     @property
     def key(self) -> QueueKey:
@@ -146,6 +150,7 @@
         self._health: dict[ServerName, ServerHealth] = {}
         self._times: dict[QueueKey, ClassTimes] = {}
         self._open_slots: dict[tuple[ServiceName, bool], float] = {}
+        self._out: frozenset[ServerName] = frozenset()
         self._shift_limits: dict[str, WindowLimiter] = {}
         self._numbers = 0
 
@@ -160,6 +165,7 @@
             if layout != self._layout:
                 self._layout = layout
                 self._rebuild(snapshot, now)
+            self._note_returned(now)
             self._advance(now)
             self._serve(now)
 
@@ -251,6 +257,7 @@
                 and any(s.index == grant.seat for s in self._snapshot.seats)
                 and grant.server.name in self._health
                 and self._may_use(grant.server.name, now)
+                and self._is_timely(grant, now)
             )
 
     def cancel(self, grant: Grant) -> None:
@@ -372,6 +379,18 @@
 
     # Callers of the methods below hold the lock.
 
+    def _note_returned(self, now: float) -> None:
+        """Begin the slow start of servers that no longer drain."""
+        leaving = self._snapshot.leaving_servers
+        servers = self._snapshot.state.of(Server)
+        out = frozenset(
+            name
+            for name in self._health
+            if name in leaving or servers[name].state is ServerState.DRAIN
+        )
+        note_returned(self._health, self._out - out, now)
+        self._out = out
+
     def _check(self, work: Work, now: float) -> None:
         if not self._is_current(now):
             raise _refusal(ResultCode.NO_SEAT, work, "seats not confirmed")
@@ -551,22 +570,45 @@
 
     def _take_shift_cap(self, work: Work, now: float) -> None:
         """Count a request that crosses regions against its shift's cap."""
+        for shift in self._crossed_shifts(work):
+            self._take_cap_of(shift, work, now)
+
+    def _crossed_shifts(self, work: Work) -> list[Shift]:
+        """Return the shifts into this region that a request counts for.
+
+        A caller of the source region may have entered in another region, by
+        a look-up that knew no instance of its own region.
+        """
         state = self._snapshot.state
         region = state.of(Zone)[self._zone].region
-        if work.source_region == region:
-            return
-        shift = active_shift(state, work.service, work.source_region, region)
-        if shift is None:
-            return
+        sources = {work.source_region, work.origin_region} - {region, None}
+        shifts = (
+            active_shift(state, work.service, source, region)
+            for source in sorted(sources)
+        )
+        return [shift for shift in shifts if shift is not None]
+
+    def _is_timely(self, grant: Grant, now: float) -> bool:
+        """Tell whether a grant is still counted in its shift's window.
+
+        A process that was paused between the grant and the sending would
+        add its requests to a later window.
+        """
+        return now - grant.granted_at <= SHIFT_JITTER_S or not (
+            self._crossed_shifts(grant.work)
+        )
+
+    def _take_cap_of(self, shift: Shift, work: Work, now: float) -> None:
+        name = cap_name(shift)
         cap = held_portion(
-            state,
-            f"shift:{shift.name}",
+            self._snapshot.state,
+            name,
             shift.cap_per_s,
             self._zone,
             [s.index for s in self._snapshot.seats if now >= s.short_from],
         )
         limiter = self._shift_limits.setdefault(
-            shift.name, WindowLimiter(cap=cap, window_s=SHIFT_WINDOW_S)
+            name, WindowLimiter(cap=cap, window_s=SHIFT_WINDOW_S)
         )
         limiter.cap = cap
         if not limiter.try_take(now):
@@ -649,9 +691,10 @@
         services = state.of(Service)
         for key in [k for k in self._times if k[0] not in services]:
             del self._times[key]
-        shifts = state.of(Shift)
-        for name in [n for n in self._shift_limits if n not in shifts]:
-            del self._shift_limits[name]
+        limits = self._shift_limits
+        # A removed shift still counts in the window of one that replaces it.
+        for name in [n for n, one in limits.items() if not one.used(now)]:
+            del limits[name]
 
     def _rebuild_health(self, servers: list[Server], now: float) -> None:
         """Keep the rows of known servers; start new ones slowly.
--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -30,6 +30,7 @@
 ANNOUNCE_REMOTE = 1
 BATCH_BYTES = 256 * 1024
 BATCHES_MAX = 64
+CONTACTS_PER_ZONE = 3
 CHUNK_BYTES = 256 * 1024
 # Bounds the memory that chunks of a state can take.
 CHUNKS_MAX = 256
@@ -70,6 +71,21 @@
     return rng.choice(by_zone[rng.choice(sorted(by_zone))])
 
 
+def contacts_by_zone(
+    members: MemberTable, zone: ZoneName, rng: random.Random
+) -> list[Member]:
+    """Choose live members of each other zone, at most three of a zone."""
+    by_zone: dict[ZoneName, list[Member]] = {}
+    for row in members.rows.values():
+        if row.zone != zone and row.is_live:
+            by_zone.setdefault(row.zone, []).append(row)
+    return [
+        row
+        for _, rows in sorted(by_zone.items())
+        for row in rng.sample(rows, min(CONTACTS_PER_ZONE, len(rows)))
+    ]
+
+
 def announce_targets(
     members: MemberTable, zone: ZoneName, rng: random.Random
 ) -> list[Member]:
--- a/chiverun/core/lookup.py
+++ b/chiverun/core/lookup.py
@@ -2,22 +2,69 @@
 
 import dataclasses
 import ipaddress
+import threading
 from typing import TYPE_CHECKING
 
+from chiverun.core.blocks import BlockTable
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import ResultCode
+from chiverun.core.ticket import Site
 from chiverun.core.ticket import Zone
 
 if TYPE_CHECKING:
-    from chiverun.core.blocks import BlockTable
     from chiverun.core.ids import Address
+    from chiverun.core.ids import RegionName
     from chiverun.core.ids import ZoneName
     from chiverun.core.snapshot import Snapshot
     from chiverun.core.snapshot import ZoneView
+    from chiverun.core.state import State
 
 ANSWER_INSTANCES_MAX = 4
 
 
+class BlockTables:
+    """The block table of the present sites; thread-safe.
+
+    A large change of the table takes long, so one thread makes it while the
+    others go on with what is there.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._sites: object = None
+        self._table = BlockTable()
+
+    def get(self, state: "State") -> BlockTable:
+        """Return the table, updated when sites have changed."""
+        sites = state.of(Site)
+        is_first = self._sites is None
+        if sites is not self._sites and self._lock.acquire(blocking=is_first):
+            try:
+                if sites is not self._sites:
+                    self._table.update(sites)
+                    self._sites = sites
+            finally:
+                self._lock.release()
+        return self._table
+
+
+def origin_region(
+    state: "State", table: BlockTable, remote: str
+) -> "RegionName | None":
+    """Return the region of a caller's address, None if no block has it."""
+    try:
+        zone = table.find(int(ipaddress.IPv4Address(remote)))
+    except ValueError:
+        return None
+    known = state.of(Zone).get(zone)
+    return known.region if known else None
+
+
+def _bounds(block: str) -> tuple[int, int]:
+    network = ipaddress.IPv4Network(block)
+    return int(network.network_address), int(network.broadcast_address)
+
+
 def parse_client(text: str) -> int:
     """Parse a client's IPv4 address; raises CLIENT_INVALID."""
     try:
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -119,13 +119,12 @@
             case StateRead(state=state):
                 ticketspread.adopt_state(self, state)
             case ServersLeaving(servers=servers):
-                now = self.clock.monotonic()
-                for server in servers:
-                    drainsystem.note_drain(self, server, now)
+                drainsystem.note_drains(self, servers, self.clock.monotonic())
             case Leave():
                 self.is_leaving = True
                 publishing.publish(self, self.clock.monotonic())
                 gossip.ping_zone(self)
+                gossip.ping_remote(self)
             case HandOver():
                 self.is_handing_over = True
 
--- a/chiverun/runtime/drainsystem.py
+++ b/chiverun/runtime/drainsystem.py
@@ -1,9 +1,12 @@
 """Keeps the signs of backend servers that are leaving."""
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from chiverun.core import dissemination
 from chiverun.core.ids import ServerName
+from chiverun.runtime import gossip
+from chiverun.runtime import publishing
 
 if TYPE_CHECKING:
     from chiverun.runtime.context import ControlContext
@@ -11,13 +14,24 @@
 
 def run_drains(ctx: "ControlContext", now: float) -> None:
     """Note servers that said they drain; drop old signs."""
-    for server in ctx.admission.draining_servers():
-        note_drain(ctx, server, now)
+    note_drains(ctx, ctx.admission.draining_servers(), now)
     for server, until in list(ctx.drains.until.items()):
         if until <= now:
             del ctx.drains.until[server]
 
 
-def note_drain(ctx: "ControlContext", server: ServerName, now: float) -> None:
-    """Note that a server is leaving."""
-    ctx.drains.until[server] = now + dissemination.DRAIN_SIGN_S
+def note_drains(
+    ctx: "ControlContext", servers: Collection[ServerName], now: float
+) -> None:
+    """Note own signs; tell the zone of new ones at once.
+
+    In a large zone the turn of a peer to be pinged may come later than the
+    time within which a leaving server gets no more work.
+    """
+    until = ctx.drains.until
+    is_new = any(until.get(s, now) <= now for s in servers)
+    for server in servers:
+        until[server] = now + dissemination.DRAIN_SIGN_S
+    if is_new:
+        publishing.publish(ctx, now)
+        gossip.ping_zone(ctx)
--- a/chiverun/runtime/gossip.py
+++ b/chiverun/runtime/gossip.py
@@ -91,6 +91,14 @@
         ping_numbered(ctx, row.peer, row.instance)
 
 
+def ping_remote(ctx: "ControlContext") -> None:
+    """Ping some instances of each other zone."""
+    for row in dissemination.contacts_by_zone(
+        ctx.members, ctx.identity.zone, ctx.rng
+    ):
+        ping_numbered(ctx, row.peer, None)
+
+
 def merge(ctx: "ControlContext", content: Gossip) -> None:
     """Take over what a ping or an acknowledgement carries."""
     now = ctx.clock.monotonic()
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -1,17 +1,14 @@
 """Look-ups, keys, health and status: the handler of the look-up address."""
 
-import threading
 import urllib.parse
 from typing import TYPE_CHECKING
 
-from chiverun.core.blocks import BlockTable
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 from chiverun.core.lookup import answer_lookup
 from chiverun.core.lookup import parse_client
 from chiverun.core.ticket import Service
-from chiverun.core.ticket import Site
 from chiverun.integrations.web import error_reply
 from chiverun.integrations.web import Incoming
 from chiverun.integrations.web import json_reply
@@ -20,6 +17,7 @@
 
 if TYPE_CHECKING:
     from chiverun.core.idempotency import KeyTable
+    from chiverun.core.lookup import BlockTables
     from chiverun.core.state import State
     from chiverun.integrations.telemetry import Telemetry
     from chiverun.runtime.status import Sources
@@ -35,6 +33,7 @@
         *,
         sources: "Sources",
         keys: "KeyTable",
+        blocks: "BlockTables",
         telemetry: "Telemetry",
         ttl_s: float,
     ) -> None:
@@ -42,8 +41,7 @@
         self._keys = keys
         self._telemetry = telemetry
         self._ttl_s = ttl_s
-        self._lock = threading.Lock()
-        self._table = BlockTable()
+        self._blocks = blocks
 
     def handle(self, req: Incoming) -> Reply:
         """Answer by path; no request here runs on a backend server."""
@@ -82,7 +80,7 @@
             _check_service(snapshot.state, query.get("service"))
             result = answer_lookup(
                 snapshot,
-                self._blocks(snapshot.state),
+                self._blocks.get(snapshot.state),
                 client,
                 self._sources.plane.identity.zone,
                 self._ttl_s,
@@ -97,12 +95,6 @@
             )
         return json_reply(result)
 
-    def _blocks(self, state: "State") -> BlockTable:
-        """Return the block table, updated when sites have changed."""
-        with self._lock:
-            self._table.update(state.of(Site))
-        return self._table
-
     def _issue(self, req: Incoming) -> Reply:
         text = _query(req).get("count", "1")
         if not text.isdecimal() or not 0 < int(text) <= KEYS_PER_CALL_MAX:
@@ -117,6 +109,16 @@
                 ResultCode.LEAVING,
                 "this instance is stopping; ask another",
             )
+        reasons = self._unready()
+        if reasons:
+            # A request with such a key would be refused here, and peers that
+            # do not know this instance yet could not tell that it never ran.
+            return error_reply(
+                503,
+                Outcome.NOT_RUN,
+                ResultCode.NOT_READY,
+                f"{', '.join(reasons)}; ask another instance",
+            )
         identity = self._sources.plane.identity
         keys = self._keys.issue(int(text))
         if not keys:
@@ -135,13 +137,9 @@
         )
 
     def _ready(self) -> Reply:
-        """Ready means: has a state, holds seats, and is not leaving."""
+        """Ready means: can serve, holds confirmed seats, is not leaving."""
         plane = self._sources.plane
-        reasons = []
-        if plane.state.number == 0:
-            reasons.append("no ticket is in force here")
-        if not plane.seats.held:
-            reasons.append("no seat is held")
+        reasons = self._unready()
         if plane.seats.suspended_at is not None:
             reasons.append("seats are suspended after a pause")
         if plane.is_leaving:
@@ -153,6 +151,16 @@
             status=503 if reasons else 200,
         )
 
+    def _unready(self) -> list[str]:
+        """Return what a process that has just started still lacks."""
+        plane = self._sources.plane
+        reasons = []
+        if plane.state.number == 0:
+            reasons.append("no ticket is in force here")
+        if not plane.seats.held:
+            reasons.append("no seat is held")
+        return reasons
+
 
 def _query(req: Incoming) -> dict[str, str]:
     return dict(urllib.parse.parse_qsl(req.query))
--- a/chiverun/runtime/publishing.py
+++ b/chiverun/runtime/publishing.py
@@ -66,6 +66,9 @@
 def _is_listed(ctx: "ControlContext", row: Member, now: float) -> bool:
     if row.advert is None or row.advert.leaving:
         return False
+    if row.advert.number == 0:
+        # It has just started and would refuse every request.
+        return False
     if row.zone == ctx.identity.zone:
         return row.is_live
     return now - row.measured_at <= REMOTE_LISTED_S
@@ -82,6 +85,7 @@
             forward=m.advert.forward,
             room=m.advert.room,
             measured_at=m.measured_at,
+            seats=tuple(c.seat for c in m.advert.seats),
         )
         for m in members
     ]
--- a/tests/runtime/test_entry_load.py
+++ b/tests/runtime/test_entry_load.py
@@ -22,7 +22,7 @@
 
 
 def _entry(**fields) -> Entry:
-    names = "identity clock plane executor backends links keys budget"
+    names = "identity clock plane executor backends links blocks keys budget"
     mocks = {n: mock.Mock() for n in (*names.split(), "telemetry")}
     return Entry(**{**mocks, **fields}, threads=4)
 
