Wait for a replaced instance before the demo stops it

Cause: one stop of nine failed in short demos: SIGTERM came while the replaced process still started, before its handler was set. Change: the demo waits until the replacement is ready. Conclusion: the graceful stop itself was not at fault.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -195,9 +195,14 @@
 
 
 def _replace(cluster: Cluster, name: str) -> int:
-    """Stop an instance gracefully and start it again."""
+    """Stop an instance gracefully, start it again, wait until it serves.
+
+    A signal that comes while the interpreter still starts ends the process
+    at once, which says nothing about a graceful stop.
+    """
     code = cluster.stop(name)
     cluster.start_instance(name)
+    cluster.wait_ready([name])
     return code
 
 
