Reach leaving issuers, bound stored responses, keep errors unknown

An issuer that had given its seats away refused its own keys at once. An unexpected error during an exchange was released as "not sent", which freed the slot. A peer's deadline had no upper bound, and long digit strings raised errors. Stored responses counted bodies only, so 100,000 rows of headers were unbounded, and a dropped response was replayed as "answered" with status 410.

A leaving instance places keyed requests on instances of its region, and tries again until the deadline while nothing has taken them. An error in an exchange counts as a reset. Deadlines of peers are bounded by their class. Headers count towards stored bytes, the oldest responses are dropped first, and their keys answer UNKNOWN with KEY_ANSWER_GONE.

The table's size stays above what an instance should need.

--- a/chiverun/core/idempotency.py
+++ b/chiverun/core/idempotency.py
@@ -24,6 +24,7 @@
 KEY_LIFETIME_S = 600.0
 KEYS_MAX = 100_000
 STORED_BYTES_MAX = 16 * 1024 * 1024
+_HEADER_OVERHEAD_BYTES = 128
 _SEPARATOR = "~"
 
 
@@ -83,7 +84,7 @@
     return KeyParts(instance=InstanceId(parts[0]), life=LifeId(parts[1]))
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class _Row:
     issued_at: float
     state: _KeyState = _KeyState.ISSUED
@@ -112,6 +113,10 @@
         self._rows: collections.OrderedDict[IdempotencyKey, _Row] = (
             collections.OrderedDict()
         )
+        # Sizes of stored responses, in the order in which they finished.
+        self._stored: collections.OrderedDict[IdempotencyKey, int] = (
+            collections.OrderedDict()
+        )
         self._stored_bytes = 0
 
     def issue(self, count: int) -> list[IdempotencyKey]:
@@ -151,7 +156,12 @@
                         outcome=Outcome.UNKNOWN,
                         code=ResultCode.KEY_IN_PROGRESS,
                     )
-            if row.state is _KeyState.FINISHED and row.result is not None:
+            if row.state is _KeyState.FINISHED:
+                if row.result is None:
+                    return Refuse(
+                        outcome=Outcome.UNKNOWN,
+                        code=ResultCode.KEY_ANSWER_GONE,
+                    )
                 return Replay(result=row.result)
             row.state = _KeyState.RUNNING
             return Run()
@@ -165,22 +175,21 @@
                     row.state = _KeyState.ISSUED
                 else:
                     row.state = _KeyState.FINISHED
-                    row.result = self._bounded(result)
+                    row.result = result
+                    self._store(key, result)
             self._changed.notify_all()
 
-    def _bounded(self, result: StoredResult) -> StoredResult:
-        """Drop the body when the table's memory for bodies is used up."""
-        size = len(result.body)
-        if self._stored_bytes + size > STORED_BYTES_MAX:
-            return dataclasses.replace(
-                result,
-                code=ResultCode.KEY_ANSWER_GONE,
-                status=410,
-                headers=(),
-                body=b"",
-            )
-        self._stored_bytes += size
-        return result
+    def _store(self, key: IdempotencyKey, result: StoredResult) -> None:
+        """Count a result's memory; drop the oldest ones beyond the limit.
+
+        Repeats come soon after the first try, so the newest are kept.
+        """
+        self._stored[key] = _size_bytes(result)
+        self._stored_bytes += self._stored[key]
+        while self._stored_bytes > STORED_BYTES_MAX:
+            oldest, size = self._stored.popitem(last=False)
+            self._stored_bytes -= size
+            self._rows[oldest].result = None
 
     def _new_key(self) -> IdempotencyKey:
         parts = (self._instance, self._life, secrets.token_hex(8))
@@ -194,11 +203,18 @@
                 return
             if row.state is _KeyState.RUNNING:
                 return
-            if row.result is not None:
-                self._stored_bytes -= len(row.result.body)
+            self._stored_bytes -= self._stored.pop(key, 0)
             del self._rows[key]
 
 
+def _size_bytes(result: StoredResult) -> int:
+    headers = sum(
+        len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+        for name, value in result.headers
+    )
+    return len(result.body) + headers
+
+
 def _unlisted(key: IdempotencyKey, life: LifeId) -> Refuse:
     """An unlisted key may have run before it expired or its process ended."""
     parts = parse_key(key)
--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -23,9 +23,11 @@
 from chiverun.core.idempotency import Run
 from chiverun.core.idempotency import StoredResult
 from chiverun.core.ids import IdempotencyKey
+from chiverun.core.ids import InstanceId
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
+from chiverun.core.issuers import IssuerDirectory
 from chiverun.core.links import HEADER_BYTES
 from chiverun.core.routing import overflow_targets
 from chiverun.core.routing import region_room
@@ -56,7 +58,6 @@
     from chiverun.core.idempotency import KeyTable
     from chiverun.core.links import Links
     from chiverun.core.retries import RetryBudget
-    from chiverun.core.snapshot import EntryAddresses
     from chiverun.core.snapshot import Snapshot
     from chiverun.integrations.backend import HttpBackends
     from chiverun.integrations.telemetry import Telemetry
@@ -65,10 +66,12 @@
     from chiverun.runtime.execution import Executor
 
 _PREFIX = "/s/"
+# Marks a request that an instance passes on to the issuer of its key.
+ISSUER_HEADER = "X-Chiverun-Issuer"
 # Placements that ended with proof that nothing ran may be tried again this
 # often; each takes part of the deadline.
 PLACEMENTS_MAX = 4
-KEYS_PER_CALL_MAX = 1000
+_NO_SEAT_PAUSE_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -116,6 +119,7 @@
         self._telemetry = telemetry
         self._lock = threading.Lock()
         self._shifts: dict[str, ShiftProgress] = {}
+        self._issuers = IssuerDirectory()
         self.in_flight = 0
 
     def handle(self, req: Incoming) -> Reply:
@@ -134,6 +138,7 @@
         return reply
 
     def _handle(self, req: Incoming) -> Reply:
+        self._issuers.refresh(self._plane.snapshot, self._clock.monotonic())
         try:
             request = self._request(req)
         except ChiverunError as exc:
@@ -156,7 +161,7 @@
             )
         parts = parse_key(key)
         if parts is not None and parts.instance != self._me.instance:
-            return self._ask_issuer(req, request, key)
+            return self._ask_issuer(req, request, key, parts.instance)
         begin = self._keys.begin(
             key, _fingerprint(req), wait_until=request.work.deadline
         )
@@ -183,17 +188,25 @@
         return _reply(result)
 
     def _ask_issuer(
-        self, req: Incoming, request: _Request, key: IdempotencyKey
+        self,
+        req: Incoming,
+        request: _Request,
+        key: IdempotencyKey,
+        instance: InstanceId,
     ) -> Reply:
         """Pass a request on to the instance that issued its key.
 
         Only the issuer may say that it was not run: another attempt with
         the same key may have reached it before.
         """
-        issuer = self._find_instance(key)
+        if req.header(ISSUER_HEADER.lower()):
+            # The asking instance has an old address of the issuer.
+            return _unknown_key(key, "its issuer has moved")
+        issuer = self._issuers.find(instance)
         if issuer is None:
             return _unknown_key(key, "its issuer is not known to be live")
         headers = backend_headers(req.headers)
+        headers[ISSUER_HEADER] = instance
         headers["Idempotency-Key"] = key
         headers["X-Deadline-Ms"] = str(self._left_ms(request.work.deadline))
         self._telemetry.inject(headers)
@@ -204,7 +217,7 @@
                 path=req.target,
                 headers=headers,
                 body=req.body,
-                request_id="",
+                request_id=request.content.request_id,
                 deadline=request.work.deadline,
                 answer_bytes_max=request.work.request_class.answer_bytes_max,
                 fresh_connection=True,
@@ -217,14 +230,6 @@
             case _:
                 return _unknown_key(key, "its issuer did not answer")
 
-    def _find_instance(self, key: IdempotencyKey) -> "EntryAddresses | None":
-        parts = parse_key(key)
-        for view in self._plane.snapshot.zones.values():
-            for addresses in view.instances:
-                if parts and addresses.instance == parts.instance:
-                    return addresses
-        return None
-
     def _left_ms(self, deadline: float) -> int:
         return max(1, int((deadline - self._clock.monotonic()) * 1000))
 
@@ -238,10 +243,27 @@
         while progress.placements_left > 0:
             attempt = self._place(request, progress.excluded)
             end = attempt.end
+            if self._may_wait_for_seats(end, request):
+                time.sleep(_NO_SEAT_PAUSE_S)
+                continue
             if not self._may_try_again(attempt, progress, request):
                 break
         return _result(end, may_have_run=progress.may_have_run)
 
+    def _may_wait_for_seats(self, end: ExchangeEnd, request: _Request) -> bool:
+        """Tell whether a request that nothing ran waits at a leaving issuer.
+
+        Its key is of no use elsewhere, and the receivers of its seats may
+        not have announced their free slots yet.
+        """
+        return (
+            self._plane.snapshot.leaving
+            and not request.work.request_class.repeatable
+            and isinstance(end, PeerRefused)
+            and self._clock.monotonic() + _NO_SEAT_PAUSE_S
+            < request.work.deadline
+        )
+
     def _may_try_again(
         self, attempt: Attempt, progress: _Progress, request: _Request
     ) -> bool:
@@ -289,9 +311,14 @@
             work, request.content, excluded, may_wait=False
         )
         yield local
-        for target in overflow_targets(
+        targets = overflow_targets(
             snapshot, self._me.instance, self._me.zone, work.service, now
-        ):
+        )
+        if not targets and snapshot.leaving:
+            targets = region_targets(
+                snapshot, self._me.instance, work.source_region, work.service
+            )
+        for target in targets:
             yield self._forward(target, request)
         yield self._executor.run(
             work, request.content, excluded, may_wait=True
@@ -418,7 +445,8 @@
     def _deadline(self, req: Incoming, request_class: RequestClass) -> float:
         most_ms = request_class.deadline_ms
         text = req.header("x-deadline-ms", str(most_ms))
-        if not (text.isascii() and text.isdigit() and int(text) > 0):
+        is_number = text.isascii() and text.isdigit() and len(text) <= 15
+        if not is_number or int(text) == 0:
             raise ChiverunError(
                 ResultCode.DEADLINE_INVALID,
                 f"X-Deadline-Ms is {text!r}; valid: 1 to {most_ms}",
--- a/chiverun/runtime/execution.py
+++ b/chiverun/runtime/execution.py
@@ -7,6 +7,7 @@
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import NotSent
 from chiverun.core.exchange import PeerRefused
+from chiverun.core.exchange import Reset
 from chiverun.core.ids import ServerName
 from chiverun.core.ticket import RequestClass
 from chiverun.integrations.backend import HOP_HEADERS
@@ -27,6 +28,7 @@
     {
         "host",
         "content-length",
+        "expect",
         "x-deadline-ms",
         "x-deadline-epoch-ms",
         "x-request-id",
@@ -100,7 +102,8 @@
         if not self._admission.confirm(grant):
             self._admission.cancel(grant)
             return NotSent(detail="grant no longer valid")
-        end: ExchangeEnd = NotSent(detail="not started")
+        # What an unexpected error leaves behind may have been sent.
+        end: ExchangeEnd = Reset(detail="exchange failed")
         try:
             with self._telemetry.span("attempt", server=grant.server.name):
                 end = self._backends.exchange(
@@ -163,4 +166,6 @@
 
 def deadline_from_epoch(clock: "Clock", text: str) -> float:
     """Return the monotonic deadline of a wall-clock one; raises ValueError."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 15):
+        raise ValueError(f"deadline is {text!r}; valid: milliseconds")
     return clock.monotonic() + int(text) / 1000.0 - clock.wall()
--- a/chiverun/runtime/forward.py
+++ b/chiverun/runtime/forward.py
@@ -133,13 +133,18 @@
         service = state.of(Service).get(name)
         if service is None:
             raise ValueError(f"service {name!r} is unknown")
+        request_class = _class(service, req.header(CLASS_HEADER.lower()))
+        deadline = deadline_from_epoch(
+            self._clock, req.header("x-deadline-epoch-ms")
+        )
+        # A claimed seat opens after the longest deadline of a class, so no
+        # clock difference may make a deadline longer than that.
+        latest = self._clock.monotonic() + request_class.deadline_ms / 1000.0
         return Work(
             service=name,
-            request_class=_class(service, req.header(CLASS_HEADER.lower())),
+            request_class=request_class,
             source_region=RegionName(req.header(SOURCE_HEADER.lower())),
-            deadline=deadline_from_epoch(
-                self._clock, req.header("x-deadline-epoch-ms")
-            ),
+            deadline=min(deadline, latest),
         )
 
 
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -9,9 +9,8 @@
 import http.client
 import os
 import threading
+import time
 
-from chiverun.core.errors import Outcome
-from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import NotSent
 from chiverun.core.idempotency import Replay
@@ -36,7 +35,7 @@
             conn = self._conns.get(address)
             if conn is None:
                 conn = http.client.HTTPConnection(*split_address(address))
-                conn.timeout = req.deadline - _now()
+                conn.timeout = req.deadline - time.monotonic()
                 self._conns[address] = conn
             try:
                 conn.request(req.method, req.path, req.body, req.headers)
@@ -114,14 +113,3 @@
         """Close the listener."""
         threading.Thread(target=self._server.shutdown).start()
         self._server.server_close()
-
-
-def not_run_on_any_error(exc: Exception):
-    """Return the outcome that a handler without proof would state."""
-    return Outcome.NOT_RUN, ResultCode.INTERNAL, str(exc)
-
-
-def _now() -> float:
-    import time
-
-    return time.monotonic()
