State "not run" for a keyed request only from the issuer's table

Cause: a request with a key that was refused before its key was looked up (bad deadline, no ticket yet, a path in no class) got NOT_RUN, although an earlier try with the same key may have run. The process test found one case: the asking instance sent the key header twice, the issuer refused that as malformed, and the caller read "not run" for a request that had run.

Conclusion: a repeat gets the first answer or UNKNOWN through any instance, until its issuer's process ends.

--- a/chiverun/core/idempotency.py
+++ b/chiverun/core/idempotency.py
@@ -166,6 +166,16 @@
             row.state = _KeyState.RUNNING
             return Run()
 
+    def outcome(self, key: IdempotencyKey) -> Outcome:
+        """Return NOT_RUN on proof that no request with the key has begun."""
+        if parse_key(key) is None:
+            return Outcome.NOT_RUN
+        with self._changed:
+            row = self._rows.get(key)
+            if row is not None and row.state is _KeyState.ISSUED:
+                return Outcome.NOT_RUN
+            return Outcome.UNKNOWN
+
     def finish(self, key: IdempotencyKey, result: StoredResult) -> None:
         """Record the result; a proven NOT_RUN makes the key usable again."""
         with self._changed:
--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -142,7 +142,10 @@
         try:
             request = self._request(req)
         except ChiverunError as exc:
-            return error_reply(400, Outcome.NOT_RUN, exc.code, exc.message)
+            # An earlier try with the same key may have run.
+            key = IdempotencyKey(req.header("idempotency-key"))
+            outcome = self._keys.outcome(key)
+            return error_reply(400, outcome, exc.code, exc.message)
         if request.work.request_class.repeatable:
             return _reply(self._run(request))
         return self._handle_keyed(req, request)
@@ -207,7 +210,6 @@
             return _unknown_key(key, "its issuer is not known to be live")
         headers = backend_headers(req.headers)
         headers[ISSUER_HEADER] = instance
-        headers["Idempotency-Key"] = key
         headers["X-Deadline-Ms"] = str(self._left_ms(request.work.deadline))
         self._telemetry.inject(headers)
         end = self._backends.exchange(
@@ -225,6 +227,9 @@
             ),
         )
         match end:
+            case PeerRefused(code=ResultCode.REQUEST_MALFORMED):
+                # It was refused before its key was looked up.
+                return _unknown_key(key, "its issuer could not read it")
             case Answered() | PeerRefused():
                 return _reply(_result(end))
             case _:
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -11,12 +11,15 @@
 import threading
 import time
 
+from chiverun import cli
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import NotSent
 from chiverun.core.idempotency import Replay
 from chiverun.core.idempotency import Run
+from chiverun.integrations import web
 from chiverun.integrations.network import split_address
 from chiverun.integrations.web import Incoming
+from chiverun.runtime import entry
 from standins.web import Handler
 from standins.web import serve_in_thread
 
@@ -113,3 +116,16 @@
         """Close the listener."""
         threading.Thread(target=self._server.shutdown).start()
         self._server.server_close()
+
+
+def main() -> None:
+    """Run an instance that runs every request it gets, whatever its key."""
+    entry.Entry._handle_keyed = lambda self, _req, request: entry._reply(
+        self._run(request)
+    )
+    web._is_abandoned = lambda _sock: False
+    cli.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/runtime/test_entry.py
+++ b/tests/runtime/test_entry.py
@@ -208,6 +208,7 @@
     @params(
         (_OK, "answered"),
         (PeerRefused(code=ResultCode.NO_CAPACITY), "not-run"),
+        (PeerRefused(code=ResultCode.REQUEST_MALFORMED), "unknown"),
         (NotSent(detail=""), "unknown"),
         (Reset(detail=""), "unknown"),
         (Mismatched(request_id="x"), "unknown"),
@@ -222,6 +223,29 @@
         (call,) = self.peer_calls.calls
         self.assertNotEqual("", call.request_id)
         self.assertTrue(call.fresh_connection and call.to_peer)
+        names = [name.lower() for name in call.headers]
+        self.assertEqual(len(set(names)), len(names))
+
+    @params(
+        ("unused", "not-run"),
+        ("used", "unknown"),
+        ("of another", "unknown"),
+        ("none", "not-run"),
+    )
+    def test_refusal_before_the_key_is_looked_up(self, case, outcome):
+        """Guards against "not run" for a repeat of what may have run."""
+        entry = self._entry(_Script(_OK), peers=("a-2",))
+        (key,) = self.keys.issue(1)
+        match case:
+            case "used":
+                self._send(entry, key=key)
+            case "of another":
+                key = "a-2~life~1"
+            case "none":
+                key = ""
+        found, code = self._send(entry, key=key, x_deadline_ms="bad")
+        self.assertEqual(ResultCode.DEADLINE_INVALID, code)
+        self.assertEqual(outcome, found)
 
     def test_leaving_issuer_is_still_asked(self):
         """Guards against an avoidable unknown outcome in a planned stop."""
