Issue keys only with seats, and place keys of an issuer without seats

The key is of no use elsewhere.

Change: POST /v1/keys answers 503 NOT_READY without seats. An issuer whose seats are missing or suspended places keyed requests as a leaving one does. The count of keys is matched as ASCII digits.

--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -256,13 +256,14 @@
         return _result(end, may_have_run=progress.may_have_run)
 
     def _may_wait_for_seats(self, end: ExchangeEnd, request: _Request) -> bool:
-        """Tell whether a request that nothing ran waits at a leaving issuer.
+        """Tell whether a request that nothing ran waits at its issuer.
 
-        Its key is of no use elsewhere, and the receivers of its seats may
-        not have announced their free slots yet.
+        Its key is of no use elsewhere. An issuer that is leaving or has
+        started just now has no seats, and it may not have heard yet which
+        instances have free slots.
         """
         return (
-            self._plane.snapshot.leaving
+            _lacks_seats(self._plane.snapshot)
             and not request.work.request_class.repeatable
             and isinstance(end, PeerRefused)
             and self._clock.monotonic() + _NO_SEAT_PAUSE_S
@@ -319,7 +320,7 @@
         targets = overflow_targets(
             snapshot, self._me.instance, self._me.zone, work.service, now
         )
-        if not targets and snapshot.leaving:
+        if not targets and _lacks_seats(snapshot):
             targets = region_targets(
                 snapshot, self._me.instance, work.source_region, work.service
             )
@@ -473,6 +474,10 @@
     )
 
 
+def _lacks_seats(snapshot: "Snapshot") -> bool:
+    return snapshot.leaving or not snapshot.seats or not snapshot.confirmed
+
+
 def _rule(request_class: RequestClass) -> str:
     return f"{'|'.join(request_class.methods)} {request_class.path_prefix}"
 
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -1,5 +1,6 @@
 """Look-ups, keys, health and status: the handler of the look-up address."""
 
+import re
 import threading
 import urllib.parse
 from typing import TYPE_CHECKING
@@ -28,6 +29,7 @@
     from chiverun.runtime.status import Sources
 
 KEYS_PER_CALL_MAX = 1000
+_COUNT = re.compile("[1-9][0-9]{0,3}")
 
 
 class Public:
@@ -112,7 +114,7 @@
 
     def _issue(self, req: Incoming) -> Reply:
         text = _query(req).get("count", "1")
-        if not text.isdecimal() or not 0 < int(text) <= KEYS_PER_CALL_MAX:
+        if not _COUNT.fullmatch(text) or int(text) > KEYS_PER_CALL_MAX:
             raise ChiverunError(
                 ResultCode.REQUEST_MALFORMED,
                 f"count is {text!r}; valid: 1 to {KEYS_PER_CALL_MAX}",
@@ -124,6 +126,13 @@
                 ResultCode.LEAVING,
                 "this instance is stopping; ask another",
             )
+        if not self._sources.plane.snapshot.seats:
+            return error_reply(
+                503,
+                Outcome.NOT_RUN,
+                ResultCode.NOT_READY,
+                "this instance holds no seat yet; ask another",
+            )
         identity = self._sources.plane.identity
         keys = self._keys.issue(int(text))
         if not keys:
--- a/tests/integrations/test_web.py
+++ b/tests/integrations/test_web.py
@@ -1,6 +1,7 @@
 """Tests of inbound HTTP against broken and ambiguous requests."""
 
 import socket
+import threading
 import unittest
 
 from nose2.tools import params
@@ -9,6 +10,7 @@
 from chiverun.core.errors import ResultCode
 from chiverun.integrations.web import Reply
 from chiverun.integrations.web import WebServer
+from standins.cluster import wait_until
 from tests.naive import IS_NAIVE
 from tests.naive import NaiveWebServer
 
@@ -28,6 +30,7 @@
 class WebTest(unittest.TestCase):
     seen = []
     error = None
+    gate = threading.Event()
 
     @classmethod
     def setUpClass(cls):
@@ -45,6 +48,8 @@
     @classmethod
     def _handle(cls, req):
         cls.seen.append((req.method, req.path, req.body))
+        if req.path == "/wait":
+            cls.gate.wait(20)
         if cls.error is not None:
             raise cls.error
         return Reply(status=200, body=b"done")
@@ -126,15 +131,36 @@
         ("in the body", _POST + b"Content-Length: 9\r\n\r\nbody"),
         ("in a chunk", _POST + _CHUNKED + b"\r\n9\r\nbody"),
         ("before the last chunk", _POST + _CHUNKED + b"\r\n4\r\nbody\r\n"),
-        ("after the request", _POST + b"Content-Length: 4\r\n\r\nbody"),
     )
     def test_cut_request_is_not_run(self, _case, raw):
-        """Guards against running a part, or for a caller that has gone."""
+        """Guards against running a part of a request."""
         received = self._send(raw, is_cut=True)
         self.assertEqual([], self.seen)
         if received:
             self.assertIn(b"X-Chiverun-Outcome: not-run", received)
 
+    def test_request_of_a_caller_that_has_gone_is_not_run(self):
+        """Guards against running what waited until its caller gave up.
+
+        Both threads of the server are busy until the caller has closed.
+        """
+        self.gate.clear()
+        self.addCleanup(self.gate.set)
+        busy = [socket.create_connection(self.address, 5) for _ in range(2)]
+        for conn in busy:
+            self.addCleanup(conn.close)
+            conn.sendall(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        wait_until(lambda: len(self.seen) == 2, 20, "busy threads")
+        with socket.create_connection(self.address, 5) as conn:
+            conn.sendall(_POST + b"Content-Length: 4\r\n\r\nbody")
+            conn.shutdown(socket.SHUT_WR)
+            self.gate.set()
+            received = b""
+            while data := conn.recv(65536):
+                received += data
+        self.assertEqual([("GET", "/wait", b"")] * 2, self.seen)
+        self.assertIn(b"X-Chiverun-Outcome: not-run", received)
+
     @params(
         (
             "second request",
--- a/tests/runtime/test_entry.py
+++ b/tests/runtime/test_entry.py
@@ -263,12 +263,13 @@
         self.assertEqual("unknown", outcome)
         self.assertEqual([], self.peer_calls.calls)
 
-    def test_leaving_issuer_without_seats_places_its_keys_elsewhere(self):
+    @params(True, False)
+    def test_issuer_without_seats_places_its_keys_elsewhere(self, leaving):
         """Guards against refusing keys that no other instance may run."""
         refused = PeerRefused(code=ResultCode.NO_SEAT)
         self.peer_calls = _Script(refused, refused, _OK)
         entry = self._entry(_Script(refused))
-        self.plane.snapshot = self._snapshot("a-2", leaving=True)
+        self.plane.snapshot = self._snapshot("a-2", leaving=leaving)
         self.plane.snapshot.zones["a"].instances[0].room.clear()
         (key,) = self.keys.issue(1)
         self.assertEqual("answered", self._send(entry, key=key)[0])
--- /dev/null
+++ b/tests/runtime/test_public.py
@@ -0,0 +1,62 @@
+"""Tests of the issue of keys and of input errors at the look-up address."""
+
+import types
+import unittest
+
+import msgspec
+from nose2.tools import params
+
+from chiverun.core.clock import ManualClock
+from chiverun.core.errors import ResultCode
+from chiverun.core.idempotency import KEYS_MAX
+from chiverun.core.idempotency import KeyTable
+from chiverun.core.state import empty_state
+from chiverun.integrations.web import Incoming
+from chiverun.runtime.public import Public
+
+
+class IssueTest(unittest.TestCase):
+    @params(
+        ("ready", "count=2", 200, None),
+        ("no seat", "count=2", 503, ResultCode.NOT_READY),
+        ("leaving", "count=2", 503, ResultCode.LEAVING),
+        ("full", "count=2", 503, ResultCode.NO_CAPACITY),
+        ("ready", "count=0", 400, ResultCode.REQUEST_MALFORMED),
+        ("ready", "count=" + "9" * 5000, 400, ResultCode.REQUEST_MALFORMED),
+        ("ready", "count=\u0663", 400, ResultCode.REQUEST_MALFORMED),
+    )
+    def test_issue(self, case, query, status, code):
+        """Guards against keys of an instance that cannot serve them."""
+        keys = KeyTable(instance="a-1", life="l", clock=ManualClock())
+        if case == "full":
+            keys.issue(KEYS_MAX)
+        plane = types.SimpleNamespace(
+            identity=types.SimpleNamespace(entry="e"),
+            is_leaving=case == "leaving",
+            snapshot=types.SimpleNamespace(
+                seats=() if case == "no seat" else (1,), state=empty_state()
+            ),
+        )
+        public = Public(
+            sources=types.SimpleNamespace(plane=plane),
+            keys=keys,
+            telemetry=None,
+            ttl_s=2.0,
+        )
+        reply = public.handle(
+            Incoming(
+                method="POST",
+                path="/v1/keys",
+                query=query,
+                headers={},
+                body=b"",
+                remote="",
+            )
+        )
+        found = msgspec.json.decode(reply.body)
+        self.assertEqual(status, reply.status)
+        if code is None:
+            self.assertEqual(2, len(found["keys"]))
+        else:
+            self.assertEqual("not-run", found["outcome"])
+            self.assertEqual(code, found["code"])
