Test dripping headers and a server that does not read

Cause: the deadline of an exchange was shown for a dripping body only.

Change: two more failures in tests.integrations.test_backend.

Conclusion: the deadline holds for headers, bodies and writing.

--- a/tests/integrations/test_backend.py
+++ b/tests/integrations/test_backend.py
@@ -30,6 +30,7 @@
 _RESET = "reset"
 _HOLD = "hold"
 _DRIP = "drip"
+_DRIP_HEADERS = "drip headers"
 
 
 class ScriptedServer:
@@ -83,14 +84,15 @@
                 if step == _HOLD:
                     self.done.wait(30)
                     return
-                if step == _DRIP:
-                    self._drip(conn)
+                if step in (_DRIP, _DRIP_HEADERS):
+                    self._drip(conn, is_body=step == _DRIP)
                     return
                 conn.sendall(step.replace(b"%(id)s", request_id))
 
-    def _drip(self, conn: socket.socket) -> None:
+    def _drip(self, conn: socket.socket, *, is_body: bool) -> None:
         """Send a byte at a time, for longer than any deadline here."""
-        conn.sendall(_OK + b"Content-Length: 1000\r\n\r\n")
+        conn.sendall(_OK + b"Content-Length: 1000\r\n")
+        conn.sendall(b"\r\n" if is_body else b"X-A: ")
         for _ in range(100):
             try:
                 conn.sendall(b"x")
@@ -150,6 +152,7 @@
         ("garbage", b"\x00\xff garbage\r\n\r\n", Reset),
         ("late", _HOLD, TimedOut),
         ("dripping", _DRIP, TimedOut),
+        ("dripping headers", _DRIP_HEADERS, TimedOut),
         ("short", _OK + _ID + b"Content-Length: 5\r\n\r\nok", Incomplete),
         ("excess", _WHOLE + b"more", Incomplete),
         (
@@ -257,6 +260,16 @@
         self.assertIs(Outcome.UNKNOWN, classify(end).outcome)
         self.assertEqual(2, server.seen)
 
+    def test_server_that_does_not_read(self):
+        """Guards against a request that is written without end."""
+        server = self._server()
+        started = time.monotonic()
+        end = self._exchange(
+            server.address, method="POST", body=b"x" * 20_000_000
+        )
+        self.assertIsInstance(end, TimedOut)
+        self.assertLess(time.monotonic() - started, 2.0)
+
     def test_request_cut_while_writing_is_not_continued_elsewhere(self):
         """Guards against the rest of a request on a new connection."""
         server = self._server([_WHOLE], [_WHOLE])
