--- a/chiverun/core/idempotency.py
+++ b/chiverun/core/idempotency.py
@@ -34,7 +34,7 @@
     FINISHED = "finished"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StoredResult:
     """The response to a request with a key, kept for repeats."""
 
