--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import threading
+import time
 import uuid
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
@@ -22,9 +23,11 @@
 from chiverun.core.idempotency import Run
 from chiverun.core.idempotency import StoredResult
 from chiverun.core.ids import IdempotencyKey
+from chiverun.core.ids import InstanceId
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
+from chiverun.core.issuers import IssuerDirectory
 from chiverun.core.links import message_bytes
 from chiverun.core.lookup import origin_region
 from chiverun.core.retries import LongThreads
@@ -76,10 +79,12 @@
     from chiverun.runtime.execution import Executor
 
 _PREFIX = "/s/"
+# Marks a request that an instance passes on to the issuer of its key.
+ISSUER_HEADER = "X-Chiverun-Issuer"
 # Placements that ended with proof that nothing ran may be tried again this
 # often; each takes part of the deadline.
 PLACEMENTS_MAX = 4
-KEYS_PER_CALL_MAX = 1000
+_NO_SEAT_PAUSE_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -131,6 +136,7 @@
         self._telemetry = telemetry
         self._lock = threading.Lock()
         self._shifts: dict[str, ShiftProgress] = {}
+        self._issuers = IssuerDirectory()
         self.in_flight = 0
 
     def handle(self, req: Incoming) -> Reply:
@@ -149,10 +155,14 @@
         return reply
 
     def _handle(self, req: Incoming) -> Reply:
+        self._issuers.refresh(self._plane.snapshot, self._clock.monotonic())
         try:
             request = self._request(req)
         except ChiverunError as exc:
-            return error_reply(400, Outcome.NOT_RUN, exc.code, exc.message)
+            # An earlier try with the same key may have run.
+            key = IdempotencyKey(req.header("idempotency-key"))
+            outcome = self._keys.outcome(key)
+            return error_reply(400, outcome, exc.code, exc.message)
         if request.work.request_class.repeatable:
             return _reply(self._run(request))
         return self._handle_keyed(req, request)
@@ -171,7 +181,7 @@
             )
         parts = parse_key(key)
         if parts is not None and parts.instance != self._me.instance:
-            return self._ask_issuer(req, request, key)
+            return self._ask_issuer(req, request, key, parts.instance)
         source = RegionName(req.header(SOURCE_HEADER.lower()))
         regions = self._plane.snapshot.state.of(Region)
         if source not in regions or source == request.work.source_region:
@@ -214,21 +224,28 @@
         return _reply(result)
 
     def _ask_issuer(
-        self, req: Incoming, request: _Request, key: IdempotencyKey
+        self,
+        req: Incoming,
+        request: _Request,
+        key: IdempotencyKey,
+        instance: InstanceId,
     ) -> Reply:
         """Pass a request on to the instance that issued its key.
 
         Only the issuer may say that it was not run: another attempt with
         the same key may have reached it before.
         """
-        issuer = self._find_instance(key)
+        if req.header(ISSUER_HEADER.lower()):
+            # The asking instance has an old address of the issuer.
+            return _unknown_key(key, "its issuer has moved")
+        issuer = self._issuers.find(instance)
         if issuer is None:
             return _unknown_key(key, "its issuer is not known to be live")
         if self._pace_request(issuer, request) is not None:
             return _unknown_key(key, "the link to its issuer has no room")
         headers = backend_headers(req.headers)
-        headers["Idempotency-Key"] = key
         self._name_regions(headers, request.work)
+        headers[ISSUER_HEADER] = instance
         headers["X-Deadline-Ms"] = str(self._left_ms(request.work.deadline))
         self._telemetry.inject(headers)
         end = self._backends.exchange(
@@ -238,7 +255,7 @@
                 path=req.target,
                 headers=headers,
                 body=req.body,
-                request_id="",
+                request_id=request.content.request_id,
                 deadline=request.work.deadline,
                 answer_bytes_max=request.work.request_class.answer_bytes_max,
                 fresh_connection=True,
@@ -246,6 +263,9 @@
             ),
         )
         match end:
+            case PeerRefused(code=ResultCode.REQUEST_MALFORMED):
+                # It was refused before its key was looked up.
+                return _unknown_key(key, "its issuer could not read it")
             case Answered() | PeerRefused():
                 return _reply(_result(end))
             case _:
@@ -255,18 +275,6 @@
         headers[SOURCE_HEADER] = work.source_region
         headers[ORIGIN_HEADER] = work.origin_region or work.source_region
 
-    def _find_instance(self, key: IdempotencyKey) -> Target | None:
-        parts = parse_key(key)
-        for view in self._plane.snapshot.zones.values():
-            for addresses in view.instances:
-                if parts and addresses.instance == parts.instance:
-                    return Target(
-                        zone=view.zone,
-                        region=view.region,
-                        addresses=addresses,
-                    )
-        return None
-
     def _left_ms(self, deadline: float) -> int:
         return max(1, int((deadline - self._clock.monotonic()) * 1000))
 
@@ -291,10 +299,28 @@
         while progress.placements_left > 0:
             attempt = self._place(request, progress)
             end = attempt.end
+            if self._may_wait_for_seats(end, request):
+                time.sleep(_NO_SEAT_PAUSE_S)
+                continue
             if not self._may_try_again(attempt, progress, request):
                 break
         return _result(end, may_have_run=progress.may_have_run)
 
+    def _may_wait_for_seats(self, end: ExchangeEnd, request: _Request) -> bool:
+        """Tell whether a request that nothing ran waits at its issuer.
+
+        Its key is of no use elsewhere. An issuer that is leaving or has
+        started just now has no seats, and it may not have heard yet which
+        instances have free slots.
+        """
+        return (
+            _lacks_seats(self._plane.snapshot)
+            and not request.work.request_class.repeatable
+            and isinstance(end, PeerRefused)
+            and self._clock.monotonic() + _NO_SEAT_PAUSE_S
+            < request.work.deadline
+        )
+
     def _may_try_again(
         self, attempt: Attempt, progress: _Progress, request: _Request
     ) -> bool:
@@ -355,9 +381,14 @@
                 snapshot, self._me.instance, work.origin_region, work.service
             ):
                 yield self._forward(target, request)
-        for target in overflow_targets(
+        targets = overflow_targets(
             snapshot, self._me.instance, self._me.zone, work.service, now
-        ):
+        )
+        if not targets and _lacks_seats(snapshot):
+            targets = region_targets(
+                snapshot, self._me.instance, work.source_region, work.service
+            )
+        for target in targets:
             if self._is_sooner_here(target, work):
                 continue
             yield self._forward(target, request)
@@ -523,7 +554,8 @@
     def _deadline(self, req: Incoming, request_class: RequestClass) -> float:
         most_ms = request_class.deadline_ms
         text = req.header("x-deadline-ms", str(most_ms))
-        if not (text.isascii() and text.isdigit() and int(text) > 0):
+        is_number = text.isascii() and text.isdigit() and len(text) <= 15
+        if not is_number or int(text) == 0:
             raise ChiverunError(
                 ResultCode.DEADLINE_INVALID,
                 f"X-Deadline-Ms is {text!r}; valid: 1 to {most_ms}",
@@ -545,6 +577,10 @@
     )
 
 
+def _lacks_seats(snapshot: "Snapshot") -> bool:
+    return snapshot.leaving or not snapshot.seats or not snapshot.confirmed
+
+
 def _rule(request_class: RequestClass) -> str:
     return f"{'|'.join(request_class.methods)} {request_class.path_prefix}"
 
--- a/chiverun/runtime/execution.py
+++ b/chiverun/runtime/execution.py
@@ -37,6 +37,7 @@
     {
         "host",
         "content-length",
+        "expect",
         "x-deadline-ms",
         "x-deadline-epoch-ms",
         "x-request-id",
@@ -190,8 +191,8 @@
         if not self._admission.confirm(grant):
             self._admission.cancel(grant)
             return NotSent(detail="grant no longer valid")
-        # An error of our own proves nothing about the request.
-        end: ExchangeEnd = Reset(detail="internal error")
+        # What an unexpected error leaves behind may have been sent.
+        end: ExchangeEnd = Reset(detail="exchange failed")
         try:
             with self._telemetry.span("attempt", server=grant.server.name):
                 end = self._backends.exchange(
@@ -272,4 +273,6 @@
 
 def deadline_from_epoch(clock: "Clock", text: str) -> float:
     """Return the monotonic deadline of a wall-clock one; raises ValueError."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 15):
+        raise ValueError(f"deadline is {text!r}; valid: milliseconds")
     return clock.monotonic() + int(text) / 1000.0 - clock.wall()
--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -1,5 +1,6 @@
 """Look-ups, keys, health and status: the handler of the look-up address."""
 
+import re
 import urllib.parse
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,7 @@
     from chiverun.runtime.status import Sources
 
 KEYS_PER_CALL_MAX = 1000
+_COUNT = re.compile("[1-9][0-9]{0,3}")
 
 
 class Public:
@@ -97,7 +99,7 @@
 
     def _issue(self, req: Incoming) -> Reply:
         text = _query(req).get("count", "1")
-        if not text.isdecimal() or not 0 < int(text) <= KEYS_PER_CALL_MAX:
+        if not _COUNT.fullmatch(text) or int(text) > KEYS_PER_CALL_MAX:
             raise ChiverunError(
                 ResultCode.REQUEST_MALFORMED,
                 f"count is {text!r}; valid: 1 to {KEYS_PER_CALL_MAX}",
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -9,15 +9,17 @@
 import http.client
 import os
 import threading
+import time
 
-from chiverun.core.errors import Outcome
-from chiverun.core.errors import ResultCode
+from chiverun import cli
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import NotSent
 from chiverun.core.idempotency import Replay
 from chiverun.core.idempotency import Run
+from chiverun.integrations import web
 from chiverun.integrations.network import split_address
 from chiverun.integrations.web import Incoming
+from chiverun.runtime import entry
 from standins.web import Handler
 from standins.web import serve_in_thread
 
@@ -36,7 +38,7 @@
             conn = self._conns.get(address)
             if conn is None:
                 conn = http.client.HTTPConnection(*split_address(address))
-                conn.timeout = req.deadline - _now()
+                conn.timeout = req.deadline - time.monotonic()
                 self._conns[address] = conn
             try:
                 conn.request(req.method, req.path, req.body, req.headers)
@@ -116,12 +118,14 @@
         self._server.server_close()
 
 
-def not_run_on_any_error(exc: Exception):
-    """Return the outcome that a handler without proof would state."""
-    return Outcome.NOT_RUN, ResultCode.INTERNAL, str(exc)
+def main() -> None:
+    """Run an instance that runs every request it gets, whatever its key."""
+    entry.Entry._handle_keyed = lambda self, _req, request: entry._reply(
+        self._run(request)
+    )
+    web._is_abandoned = lambda _sock: False
+    cli.main()
 
 
-def _now() -> float:
-    import time
-
-    return time.monotonic()
+if __name__ == "__main__":
+    main()
