Wait for a replaced instance in the demo before it is stopped again

Change: the demo waits until the replaced instance is ready.

Measured: not run after the change.

Conclusion: open until a demo run confirms it.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -198,6 +198,8 @@
     """Stop an instance gracefully and start it again."""
     code = cluster.stop(name)
     cluster.start_instance(name)
+    # A signal before the program has set its handlers ends it at once.
+    cluster.wait_ready([name])
     return code
 
 
