--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -3,7 +3,6 @@
 import random
 import secrets
 import signal
-import threading
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -109,7 +108,7 @@
         self._cfg = cfg
         self._clock = SystemClock()
         self._rng = random.Random(secrets.randbits(64))
-        self._stop_requested = threading.Event()
+        self._is_stop_requested = False
         self._addresses = AddressMap(mapping=dict(cfg.address_map))
         life = LifeId(secrets.token_hex(8))
         self._identity = Identity(
@@ -248,14 +247,19 @@
         signal.signal(signal.SIGINT, self._on_signal)
         try:
             self._start()
-            self._stop_requested.wait()
+            while not self._is_stop_requested:
+                time.sleep(_POLL_S)
             self._leave()
         finally:
             self._stop()
 
     def _on_signal(self, _number: int, _frame) -> None:
-        """Request a stop; repeated signals change nothing."""
-        self._stop_requested.set()
+        """Request a stop; repeated signals change nothing.
+
+        A handler runs inside whatever the main thread does, another handler
+        included, so it must not take a lock: an Event would deadlock.
+        """
+        self._is_stop_requested = True
 
     def _start(self) -> None:
         self._peers.start(self._on_peer_message)
