Bound the waiters of one service by the entry's threads

Cause: each waiting request holds a thread of the entry. An instance with 40 threads allowed 64 waiters of one class, so one overloaded service could hold all threads and stop the other service.

Change: Admission takes waiters_max, half of entry_threads, as the most requests of one service that wait.

--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -125,11 +125,20 @@
     clock : Clock
     rng : random.Random
         Source of the two candidates in the choice of a server.
+    waiters_max : int or None
+        Most requests of one service that wait. Each holds a thread of the
+        entry, and one overloaded service must not hold them all.
     """
 
     def __init__(
-        self, *, zone: ZoneName, clock: "Clock", rng: random.Random
+        self,
+        *,
+        zone: ZoneName,
+        clock: "Clock",
+        rng: random.Random,
+        waiters_max: int | None = None,
     ) -> None:
+        self._waiters_max = waiters_max
         self._zone = zone
         self._clock = clock
         self._rng = rng
@@ -398,6 +407,11 @@
         queued = self._queues.length(work.key)
         if queued >= max(QUEUE_MIN, QUEUE_PER_SLOT_MAX * slots):
             raise _refusal(ResultCode.QUEUE_FULL, work, f"{queued} wait")
+        waiting = sum(n for _, n in self._queues.lengths(work.service))
+        if self._waiters_max is not None and waiting >= self._waiters_max:
+            raise _refusal(
+                ResultCode.QUEUE_FULL, work, f"{waiting} wait for the service"
+            )
         wait_s = self._expected_wait_s(work, queued, slots, now)
         if now + wait_s > self._latest_start(work, now):
             raise _refusal(
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -118,7 +118,10 @@
             instance=cfg.name, zone=cfg.zone, trace_ratio=cfg.trace_ratio
         )
         self._admission = Admission(
-            zone=cfg.zone, clock=self._clock, rng=self._rng
+            zone=cfg.zone,
+            clock=self._clock,
+            rng=self._rng,
+            waiters_max=max(1, cfg.entry_threads // 2),
         )
         self._links = Links(zone=cfg.zone, clock=self._clock)
         self._keys = KeyTable(instance=cfg.name, life=life, clock=self._clock)
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -336,6 +336,25 @@
             ResultCode.DEADLINE_UNREACHABLE, caught.exception.code
         )
 
+    def test_one_service_does_not_hold_all_threads_of_the_entry(self):
+        """Guards against waiters of one service that starve the others."""
+        zone = Zoned(
+            state(
+                server("s1"),
+                server("s2", service="archive"),
+                services=("desk", "archive"),
+            )
+        )
+        zone.admission._waiters_max = 3
+        zone.take_all()
+        zone.take_all(service="archive")
+        for request_class in (READ, BOOK, READ):
+            zone.wait(request_class)
+        with self.assertRaises(ChiverunError) as caught:
+            zone.wait(BOOK)
+        self.assertEqual(ResultCode.QUEUE_FULL, caught.exception.code)
+        zone.wait(service="archive")
+
     def test_old_slow_samples_do_not_refuse_for_ever(self):
         """Guards against a refusal that prevents its own correction."""
         zone = Zoned(state(server("s1", slots=1, long_slots=0)))
