Keep slots closed until they open and give Executor its wait estimate

Cause: a slot laid out anew with a later opening time was given out when its earlier use ended, and a second time when it opened. Executor lacked the method that the entry calls before a detour; the test used a mock without a specification and did not notice. Every detour ended with status 500.

Change: slots that are not open yet are remembered and not freed early; the method is there; the test uses an autospec of Executor.

The new slot test fails on the code before. 127 tests pass.

--- a/chiverun/core/slots.py
+++ b/chiverun/core/slots.py
@@ -116,6 +116,8 @@
         self._layout: dict[SlotKey, Slot] = {}
         self._used: dict[SlotKey, _Use] = {}
         self._opening: list[tuple[float, SlotKey]] = []
+        # Slots that are not open yet, whatever else becomes of them.
+        self._closed: set[SlotKey] = set()
 
     def server(self, name: "ServerName") -> ServerSlots:
         """Return the slots of a server of the layout."""
@@ -161,7 +163,7 @@
         row.in_flight -= 1
         row.long_in_flight -= use.is_long
         slot = self._layout.get(key)
-        if slot is not None:
+        if slot is not None and key not in self._closed:
             self._stack(row, slot).append(slot)
             self._index(row)
 
@@ -169,6 +171,7 @@
         """Open the slots whose time has come by `now`."""
         while self._opening and self._opening[0][0] <= now:
             _, key = heapq.heappop(self._opening)
+            self._closed.discard(key)
             if key not in self._used:
                 slot = self._layout[key]
                 row = self._servers[slot.server]
@@ -190,6 +193,7 @@
         by_index = {seat.index: seat for seat in held}
         old = self._servers
         self._servers, self._layout, self._opening = {}, {}, []
+        self._closed = set()
         self._free, self._free_long, self._members = {}, {}, {}
         for server in servers:
             row = ServerSlots(server=server)
@@ -229,6 +233,7 @@
         row.mine_long += is_long
         if slot.opens_at > now:
             self._opening.append((slot.opens_at, slot.key))
+            self._closed.add(slot.key)
         elif slot.key not in self._used:
             self._stack(row, slot).append(slot)
             self._index(row)
--- a/chiverun/runtime/execution.py
+++ b/chiverun/runtime/execution.py
@@ -142,6 +142,10 @@
             hedge_server=second,
         )
 
+    def expected_wait_s(self, work: "Work") -> float:
+        """Return how long a request would wait for a slot of this zone."""
+        return self._admission.expected_wait_s(work)
+
     def _plan(
         self, work: "Work", hedge: HedgeTerms | None
     ) -> HedgePlan | None:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -167,6 +167,17 @@
         zone.advance(6.0)
         self.assertEqual(2, len(zone.take_all()))
 
+    def test_a_slot_that_is_freed_before_it_opens_stays_closed(self):
+        """Guards against a slot that is given out early and then twice."""
+        zone = Zoned(state(server("s1", slots=1, long_slots=0)))
+        grant = zone.take()
+        zone.held = seats(opens_at=zone.clock.monotonic() + 1.0)
+        zone.publish()
+        zone.admission.release(grant, OK)
+        self.assertIsNone(zone.take())
+        zone.advance(1.1)
+        self.assertEqual(1, len(zone.take_all()))
+
     def test_a_seat_with_a_charged_unit_is_in_use(self):
         """Guards against giving a seat away whose unit is still charged."""
         name = next(n for n in map(str, range(99)) if slot_seat(n, 0, 4) == 3)
--- a/tests/runtime/test_entry_load.py
+++ b/tests/runtime/test_entry_load.py
@@ -12,6 +12,7 @@
 from chiverun.core.exchange import Answered
 from chiverun.runtime.entry import _Request
 from chiverun.runtime.entry import Entry
+from chiverun.runtime.execution import Executor
 from tests.core.zones import EXPORT
 from tests.core.zones import READ
 from tests.core.zones import server
@@ -74,7 +75,7 @@
         self, region, wait_s, expected
     ):
         """Guards against 70 ms of way for a slot that is free in 3 ms."""
-        executor = mock.Mock()
+        executor = mock.create_autospec(Executor, instance=True)
         executor.expected_wait_s.return_value = wait_s
         work = Zoned(state(server("s1"))).work()
         target = mock.Mock(region=region)
