--- a/chiverun/core/retries.py
+++ b/chiverun/core/retries.py
@@ -7,6 +7,8 @@
 BUDGET_START = 10.0
 # Bounds the burst of retries that an instance saves up while all is well.
 BUDGET_MAX = 20.0
+# As the settings have it for the entry.
+DEFAULT_THREADS = 40
 # A share of an instance's threads that long requests may hold.
 LONG_THREADS_SHARE = 0.5
 # A hedge sooner than this costs more than it can gain.
--- a/chiverun/runtime/forward.py
+++ b/chiverun/runtime/forward.py
@@ -19,6 +19,7 @@
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServiceName
 from chiverun.core.links import HEADER_BYTES
+from chiverun.core.retries import DEFAULT_THREADS
 from chiverun.core.retries import LongThreads
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Service
@@ -55,7 +56,7 @@
         executor: "Executor",
         links: "Links",
         telemetry: "Telemetry",
-        threads: int,
+        threads: int = DEFAULT_THREADS,
     ) -> None:
         self._long_threads = LongThreads(threads=threads)
         self._zone = zone
@@ -143,13 +144,18 @@
         service = state.of(Service).get(name)
         if service is None:
             raise ValueError(f"service {name!r} is unknown")
+        request_class = _class(service, req.header(CLASS_HEADER.lower()))
+        deadline = deadline_from_epoch(
+            self._clock, req.header("x-deadline-epoch-ms")
+        )
+        # A claimed seat opens after the longest deadline of a class, so no
+        # clock difference may make a deadline longer than that.
+        latest = self._clock.monotonic() + request_class.deadline_ms / 1000.0
         return Work(
             service=name,
-            request_class=_class(service, req.header(CLASS_HEADER.lower())),
+            request_class=request_class,
             source_region=RegionName(req.header(SOURCE_HEADER.lower())),
-            deadline=deadline_from_epoch(
-                self._clock, req.header("x-deadline-epoch-ms")
-            ),
+            deadline=min(deadline, latest),
         )
 
 
