--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -30,6 +30,7 @@
 from chiverun.core.issuers import IssuerDirectory
 from chiverun.core.links import message_bytes
 from chiverun.core.lookup import origin_region
+from chiverun.core.retries import DEFAULT_THREADS
 from chiverun.core.retries import LongThreads
 from chiverun.core.routing import overflow_targets
 from chiverun.core.routing import REGION_DETOUR_S
@@ -121,7 +122,7 @@
         keys: "KeyTable",
         budget: "RetryBudget",
         telemetry: "Telemetry",
-        threads: int,
+        threads: int = DEFAULT_THREADS,
     ) -> None:
         self._long_threads = LongThreads(threads=threads)
         self._me = identity
@@ -400,9 +401,9 @@
         )
 
     def _is_sooner_here(self, target: Target, work: Work) -> bool:
-        is_far = target.region != work.source_region
-        wait_s = self._executor.expected_wait_s(work)
-        return is_far and wait_s < REGION_DETOUR_S
+        if target.region == work.source_region:
+            return False
+        return self._executor.expected_wait_s(work) < REGION_DETOUR_S
 
     def _shift_targets(
         self, snapshot: "Snapshot", work: Work, now: float
--- a/chiverun/runtime/execution.py
+++ b/chiverun/runtime/execution.py
@@ -147,6 +147,10 @@
             hedge_server=second,
         )
 
+    def expected_wait_s(self, work: "Work") -> float:
+        """Return how long a request would wait for a slot of this zone."""
+        return self._admission.expected_wait_s(work)
+
     def _plan(
         self, work: "Work", hedge: HedgeTerms | None
     ) -> HedgePlan | None:
@@ -200,16 +204,26 @@
                     self._outgoing(grant, content, cancellation),
                 )
         finally:
-            is_cut = cancellation is not None and cancellation.is_fired
-            self._admission.release(
-                grant,
-                end,
-                cancelled=is_cut and _is_cut_off(end),
-                ended=cancellation is not None and cancellation.is_ended,
-            )
+            self._release(grant, end, cancellation)
         self._telemetry.attempts.add(1, {"end": type(end).__name__})
         return end
 
+    def _release(
+        self,
+        grant: "Grant",
+        end: ExchangeEnd,
+        cancellation: Cancellation | None,
+    ) -> None:
+        if cancellation is None:
+            self._admission.release(grant, end)
+            return
+        self._admission.release(
+            grant,
+            end,
+            cancelled=cancellation.is_fired and _is_cut_off(end),
+            ended=cancellation.is_ended,
+        )
+
     def _outgoing(
         self,
         grant: "Grant",
--- a/chiverun/runtime/forward.py
+++ b/chiverun/runtime/forward.py
@@ -19,6 +19,7 @@
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServiceName
 from chiverun.core.links import message_bytes
+from chiverun.core.retries import DEFAULT_THREADS
 from chiverun.core.retries import LongThreads
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Service
@@ -56,7 +57,7 @@
         executor: "Executor",
         links: "Links",
         telemetry: "Telemetry",
-        threads: int,
+        threads: int = DEFAULT_THREADS,
     ) -> None:
         self._long_threads = LongThreads(threads=threads)
         self._zone = zone
