Test seat safety and liveness under fault schedules

Cause: nothing drove several control planes through failures. Claims now raise the epoch by 64, so that transfers by a live holder that was wrongly taken for dead never tie with a claim; watchers read the record each second while a member is dead and tell holders of later claims.

--- a/chiverun/core/seats.py
+++ b/chiverun/core/seats.py
@@ -52,6 +52,10 @@
 # Time that a live instance has to take a seat that was handed to it before
 # another may claim the seat.
 UNCOVERED_S = 10.0
+# A claim raises the epoch by more than the transfers that a live holder,
+# wrongly taken for dead, can make before it hears of the claim, so that the
+# claim is later than all of them.
+CLAIM_EPOCHS = 64
 # Bounds the marks that messages can create.
 SEATS_MAX = 4096
 OLD_CLASSES_MAX = 32
@@ -216,7 +220,9 @@
         ):
             continue
         epoch = max(epoch, mark.epoch)
-        claims.append(Claim(seat=seat, epoch=epoch + 1, was_used=epoch > 0))
+        claims.append(
+            Claim(seat=seat, epoch=epoch + CLAIM_EPOCHS, was_used=epoch > 0)
+        )
     return claims
 
 
--- a/chiverun/runtime/seatsystem.py
+++ b/chiverun/runtime/seatsystem.py
@@ -40,6 +40,9 @@
 # A watcher compares the record with the holders, in case the store was
 # restored to older data or a writer died.
 _RECORD_CHECK_PERIOD_S = 5.0
+# For this long after a member was declared dead the watchers read the record
+# more often, since it may be cut off and claim the seats of the others.
+_DEAD_WATCHED_S = 60.0
 _NEWS_PERIOD_S = 0.5
 _LOG = logbook.Logger("control")
 
@@ -246,9 +249,14 @@
     is_alone = not any(
         now - m.acked_at <= _ALONE_S for m in ctx.members.in_zone(zone)
     )
-    if seats.suspended_at is not None or (is_alone and seats.held):
+    is_watcher = membersystem.is_watcher(ctx)
+    if (
+        seats.suspended_at is not None
+        or (is_alone and seats.held)
+        or (is_watcher and _has_recent_dead(ctx, now))
+    ):
         period_s = _ALONE_READ_PERIOD_S
-    elif membersystem.is_watcher(ctx):
+    elif is_watcher:
         period_s = _RECORD_CHECK_PERIOD_S
     else:
         return
@@ -256,6 +264,13 @@
         _read_record(ctx, now)
 
 
+def _has_recent_dead(ctx: "ControlContext", now: float) -> bool:
+    return any(
+        not m.is_live and now - m.state_since <= _DEAD_WATCHED_S
+        for m in ctx.members.in_zone(ctx.identity.zone)
+    )
+
+
 def on_seats_read(ctx: "ControlContext", report: SeatsRead) -> None:
     """Compare the record with the seats held here and by members."""
     seats = ctx.seats
@@ -265,6 +280,7 @@
     _note_record(ctx, report.record)
     since = seats.suspended_at
     if since is None:
+        _tell_losers(ctx)
         _repair_record(ctx, report.record)
         return
     if report.asked_at < since:
@@ -278,6 +294,18 @@
     seats.is_record_read = True
 
 
+def _tell_losers(ctx: "ControlContext") -> None:
+    """Tell members of later holders of the seats that they advertise."""
+    for row in ctx.members.live_in_zone(ctx.identity.zone):
+        if row.advert is not None:
+            claims = tuple(
+                SeatMark(seat=c.seat, epoch=c.epoch, life=row.advert.life)
+                for c in row.advert.seats
+            )
+            later = seat_rules.later_marks(ctx.seats, claims)
+            gossip.send_marks(ctx, row.peer, later)
+
+
 def _repair_record(ctx: "ControlContext", record: "SeatRecord") -> None:
     """Write owners that the record lacks; it keeps later epochs."""
     owners = {
--- a/standins/planes.py
+++ b/standins/planes.py
@@ -402,12 +402,12 @@
         self,
         number: int,
         *,
-        address: int | None = None,
+        peer: Address | None = None,
         kind: type[ControlPlane] = ControlPlane,
         zone: ZoneName = ZONE,
     ) -> Lifetime:
         """Start an instance; one at the same address has ended."""
-        peer = self.address(number if address is None else address)
+        peer = peer or self.address(number)
         for other in self.lifetimes:
             if other.peer == peer:
                 other.is_dead = True
--- /dev/null
+++ b/tests/runtime/test_seatsystem.py
@@ -0,0 +1,308 @@
+"""Tests of the rules of claims, suspension and transfers of seats."""
+
+import unittest
+
+import logbook
+import msgspec
+from nose2.tools import params
+
+from chiverun.core.messages import Ack
+from chiverun.core.messages import MemberState
+from chiverun.core.messages import MemberUpdate
+from chiverun.core.messages import SeatRequest
+from chiverun.core.messages import SeatTransfer
+from chiverun.core.state import apply_ticket
+from chiverun.core.ticket import Zone
+from chiverun.core.ticketlog import Entry
+from chiverun.runtime import gossip
+from chiverun.runtime.control import HandOver
+from chiverun.runtime.control import Leave
+from chiverun.runtime.events import EntriesRead
+from chiverun.runtime.events import StateRead
+from standins.planes import Lifetime
+from standins.planes import LONG
+from standins.planes import make_state
+from standins.planes import make_ticket
+from standins.planes import Planes
+from standins.planes import SHORT
+from standins.planes import ZONE
+
+_QUIET = {"load": ()}
+
+
+class SeatSystemTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self._logs = logbook.NullHandler()
+        self._logs.push_application()
+
+    def tearDown(self) -> None:
+        self._logs.pop_application()
+
+    def _planes(self, count: int, **fields) -> tuple[Planes, list[Lifetime]]:
+        planes = Planes(seed=3, **fields)
+        started = [planes.start(n) for n in range(count)]
+        seats = planes.state.of(Zone)[ZONE].seats
+        self.assertTrue(planes.run_until(lambda: planes.is_even(seats), 40))
+        return planes, started
+
+    def _pass_time(self, planes: Planes, seconds: float) -> None:
+        """Pass time without running any instance: all of them pause."""
+        planes.clock.advance(seconds)
+
+    def test_ticket_before_first_tick_after_pause(self) -> None:
+        """A ticket after a pause published the seats as confirmed."""
+        planes, (one,) = self._planes(1, **_QUIET)
+        self._pass_time(planes, 10.0)
+        ticket = make_ticket(2)
+        digest = apply_ticket(planes.state, ticket).digest
+        one.plane.handle(
+            EntriesRead(
+                entries=(
+                    Entry(
+                        number=2, digest=digest, submission="", ticket=ticket
+                    ),
+                )
+            )
+        )
+        self.assertEqual(2, one.plane.snapshot.state.number)
+        self.assertFalse(one.plane.snapshot.confirmed)
+
+    def test_hand_over_waits_for_confirmation(self) -> None:
+        """A paused holder handed on a seat that another had claimed."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        request = SeatRequest(
+            instance=two.name, life=two.life, peer=two.peer, held=0
+        )
+        self._pass_time(planes, 10.0)
+        planes.store.is_down = True
+        one.plane.handle(HandOver())
+        one.plane.receive(request)
+        one.plane.tick()
+        one.plane.tick()
+        self.assertEqual({}, one.plane.seats.transfers)
+        self.assertTrue(one.held)
+
+    def test_answer_from_before_the_pause_confirms_nothing(self) -> None:
+        """Answers queued while an instance was paused show the past."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        planes.store.is_down = True
+        # The answer to the open ping waits in the paused instance's queue.
+        old = Ack(
+            sequence=one.plane.members.sequence,
+            gossip=gossip._gossip(two.plane, None),
+        )
+        self._pass_time(planes, 10.0)
+        one.jobs.clear()
+        one.plane.tick()
+        for _ in range(40):
+            planes.clock.advance(0.1)
+            one.plane.receive(old)
+            one.plane.tick()
+        self.assertIsNotNone(one.plane.seats.suspended_at)
+
+    def test_claimed_seat_stays_closed_over_transfer(self) -> None:
+        """A claimed seat handed on opened while the dead's work ran."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        two.is_dead = True
+        self.assertTrue(
+            planes.run_until(lambda: len(one.held) == 6, limit_s=30)
+        )
+        opens = {s: h.long_from for s, h in one.plane.seats.held.items()}
+        three = planes.start(9)
+        planes.run_until(lambda: len(three.held) == 3, limit_s=30)
+        for got, held in three.plane.seats.held.items():
+            self.assertGreaterEqual(held.long_from, opens[got])
+
+    def test_transfer_before_the_state_is_known(self) -> None:
+        """A seat sent to an instance without a state was lost."""
+        planes, (_one, _two) = self._planes(2, **_QUIET)
+        state, planes.state = planes.state, None
+        fresh = planes.start(5)
+        fresh.plane.receive(
+            SeatTransfer(
+                seat=0,
+                epoch=50,
+                instance=fresh.name,
+                life=fresh.life,
+                short_ms=0,
+                long_ms=0,
+                sent_epoch_ms=int(planes.clock.wall() * 1000),
+            )
+        )
+        fresh.plane.tick()
+        planes.state = state
+        fresh.plane.handle(StateRead(state=state))
+        self.assertTrue(planes.run_until(planes.is_even, limit_s=30))
+
+    @params((0.0, True), (3.0, False), (-3.0, False))
+    def test_late_transfer_is_refused(self, age_s, is_taken) -> None:
+        """A transfer held up in its sender's queue arrives after a claim."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        seat = min(two.held)
+        message = SeatTransfer(
+            seat=seat,
+            epoch=two.plane.seats.held[seat].epoch + 1,
+            instance=one.name,
+            life=one.life,
+            short_ms=0,
+            long_ms=5000,
+            sent_epoch_ms=int((planes.clock.wall() - age_s) * 1000),
+        )
+        one.plane.receive(message)
+        self.assertEqual(is_taken, seat in one.held)
+        if is_taken:
+            opens = one.plane.seats.held[seat].long_from
+            self.assertGreaterEqual(opens, planes.clock.monotonic() + 5)
+
+    def test_lost_transfer_is_taken_back(self) -> None:
+        """A seat recorded for a receiver that never got it stayed unused."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        planes.exchange.is_cut = lambda a, b: a == two.peer
+        two.plane.handle(Leave())
+        two.plane.handle(HandOver())
+        planes.run(1.5)
+        two.is_dead = True
+        self.assertTrue(planes.run_until(lambda: len(one.held) == 6, 40))
+
+    def test_late_and_repeated_seat_requests(self) -> None:
+        """A late request made the holder give away more than its excess."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        request = SeatRequest(
+            instance=two.name, life=two.life, peer=two.peer, held=0
+        )
+        for _ in range(3):
+            one.plane.receive(request)
+            planes.run(2.0)
+        self.assertEqual(3, len(one.held))
+        self.assertEqual(3, len(two.held))
+
+    def test_claim_starts_above_every_known_epoch(self) -> None:
+        """A restored record made a claim start below the holder's epoch."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        old = dict(planes.store.items)
+        three = planes.start(9)
+        planes.run_until(planes.is_even, 30)
+        before = {s: h.epoch for s, h in three.plane.seats.held.items()}
+        self.assertTrue(before)
+        planes.store.is_down = True
+        three.is_dead = True
+        planes.run(1.0)
+        planes.store.items = old
+        planes.store.is_down = False
+        self.assertTrue(planes.run_until(planes.is_even, 40))
+        for lifetime in (one, two):
+            for seat in set(before) & lifetime.held:
+                epoch = lifetime.plane.seats.held[seat].epoch
+                self.assertGreater(epoch, before[seat])
+
+    def test_restored_record_is_repaired(self) -> None:
+        """A restored record named owners that had given their seats away."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        planes.store.items = {}
+        planes.run(12.0)
+        record, _ = one.records.read()
+        owners = {s: o.life for s, o in record.owners.items()}
+        expected = {s: p.life for p in (one, two) for s in p.held}
+        self.assertEqual(expected, owners)
+
+    def test_member_called_dead_that_answers_keeps_its_seats(self) -> None:
+        """News of a death alone let others claim a live holder's seats."""
+        planes, (one, two, three) = self._planes(3, **_QUIET)
+        before = three.held
+        for _ in range(200):
+            for other in (one, two):
+                row = other.plane.members.rows[three.name]
+                update = MemberUpdate(
+                    instance=three.name,
+                    incarnation=row.incarnation,
+                    state=MemberState.DEAD,
+                )
+                content = msgspec.structs.replace(
+                    gossip._gossip(three.plane, None),
+                    updates=(update,),
+                    adverts=(),
+                )
+                row.measured_at = float("-inf")
+                other.plane.receive(Ack(sequence=0, gossip=content))
+            planes.run(0.1)
+        self.assertEqual(before, three.held)
+
+    @params(
+        # The slot was long when the dead instance used it.
+        (make_ticket(2, long_slots=0), 6.0),
+        # The deadline was longer.
+        (
+            make_ticket(
+                2, classes=(msgspec.structs.replace(SHORT, deadline_ms=100),)
+            ),
+            1.5,
+        ),
+    )
+    def test_claim_after_a_ticket_changed_slots(self, ticket, least_s) -> None:
+        """Work under the earlier ticket ran on slots opened by the later."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        state = apply_ticket(planes.state, ticket)
+        entry = Entry(
+            number=2, digest=state.digest, submission="", ticket=ticket
+        )
+        for lifetime in (one, two):
+            lifetime.plane.handle(EntriesRead(entries=(entry,)))
+        planes.state = state
+        two.is_dead = True
+        gone = two.held
+        changed_at = planes.clock.monotonic()
+        self.assertTrue(planes.run_until(lambda: len(one.held) == 6, 30))
+        for seat in gone:
+            opens = one.plane.seats.held[seat].short_from
+            self.assertGreaterEqual(opens, changed_at + least_s)
+
+    # Liveness.
+
+    def test_graceful_stop_hands_all_seats_over(self) -> None:
+        planes, (one, _two, _three) = self._planes(3)
+        one.plane.handle(Leave())
+        planes.run(1.0)
+        one.plane.handle(HandOver())
+        self.assertTrue(
+            planes.run_until(lambda: one.plane.has_handed_over, limit_s=8)
+        )
+        one.is_dead = True
+        self.assertTrue(planes.run_until(planes.is_even, limit_s=5))
+
+    def test_cut_off_zone_keeps_its_seats(self) -> None:
+        planes, started = self._planes(3)
+        before = [p.held for p in started]
+        planes.store.is_down = True
+        planes.run(30.0)
+        uses = sum(len(u) for u in planes.uses.values())
+        planes.run(5.0)
+        self.assertEqual(before, [p.held for p in started])
+        self.assertGreater(sum(len(u) for u in planes.uses.values()), uses)
+
+    def test_fresh_instance_in_an_outage_gets_seats(self) -> None:
+        planes, _ = self._planes(2, load=(SHORT, LONG))
+        planes.store.is_down = True
+        fresh = planes.start(9)
+        self.assertTrue(
+            planes.run_until(lambda: len(fresh.held) >= 2, limit_s=20)
+        )
+        self.assertEqual([], planes.overlaps())
+
+    def test_whole_zone_pauses_without_store(self) -> None:
+        """All instances paused and the store down: none may stay suspended."""
+        planes, started = self._planes(3)
+        planes.store.is_down = True
+        self._pass_time(planes, 30.0)
+        self.assertTrue(
+            planes.run_until(
+                lambda: all(p.plane.snapshot.confirmed for p in started), 15
+            )
+        )
+        self.assertEqual([], planes.overlaps())
+
+    def test_more_instances_than_seats(self) -> None:
+        _planes, started = self._planes(
+            9, state=make_state(seats=6), seeds=9, load=()
+        )
+        self.assertEqual(6, sum(len(p.held) for p in started))
+        self.assertEqual(1, max(len(p.held) for p in started))
