--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -59,13 +59,10 @@
     members: MemberTable, zone: ZoneName, rng: random.Random
 ) -> Member | None:
     """Choose a member of another zone, each zone with equal chance."""
-    by_zone: dict[ZoneName, list[Member]] = {}
-    for row in members.rows.values():
-        if row.zone != zone:
-            by_zone.setdefault(row.zone, []).append(row)
-    if not by_zone:
+    others = sorted(z for z in members.by_zone if z != zone)
+    if not others:
         return None
-    return rng.choice(by_zone[rng.choice(sorted(by_zone))])
+    return rng.choice(members.in_zone(rng.choice(others)))
 
 
 def announce_targets(
--- a/chiverun/core/membership.py
+++ b/chiverun/core/membership.py
@@ -28,6 +28,7 @@
 CHECK_PERIOD_S = 0.4
 ENDED_KEPT = 256
 RELAYED_MAX = 256
+EXPIRE_PERIOD_S = 0.25
 # Instances known of each other zone.
 REMOTE_PER_ZONE = 4
 # Dead rows are kept so that late adverts do not bring them back, and so that
@@ -59,14 +60,18 @@
             incarnation=advert.incarnation,
             state_since=now,
         )
-        table.rows[advert.instance] = row
+        table.add(row)
     elif row.advert is not None and not _is_newer(advert, row.advert):
         return False
+    if row.advert is None or row.advert.leaving != advert.leaving:
+        table.version += 1
     row.advert = advert
     if row.life != advert.life:
         row.life = advert.life
         row.noted_sequence = table.sequence
-    row.zone = advert.zone
+    if row.zone != advert.zone:
+        row.zone = advert.zone
+        table.add(row)
     row.peer = advert.peer
     row.measured_at = now - advert.age_ms / 1000.0
     if advert.incarnation > row.incarnation:
@@ -86,7 +91,7 @@
     oldest = min(rows, key=lambda m: m.measured_at)
     if now - oldest.measured_at < REMOTE_REPLACED_S:
         return False
-    del table.rows[oldest.instance]
+    table.remove(oldest.instance)
     return True
 
 
@@ -125,6 +130,7 @@
     row.state = state
     row.state_since = now
     row.checks = 0
+    table.version += 1
     sends = UPDATE_SENDS_FACTOR * math.ceil(math.log2(len(table.rows) + 2))
     table.updates[row.instance] = PendingUpdate(
         update=MemberUpdate(
@@ -244,7 +250,7 @@
             if row.noted_sequence < sequence:
                 note_ended(table, row.life)
                 if row.advert is None:
-                    del table.rows[row.instance]
+                    table.remove(row.instance)
             continue
         _note_alive(row, now)
 
@@ -302,12 +308,15 @@
 
 def expire(table: MemberTable, zone: ZoneName, now: float) -> None:
     """Declare old suspects dead and drop rows that are of no more use."""
+    if now - table.expired_at < EXPIRE_PERIOD_S:
+        return
+    table.expired_at = now
     for row in list(table.rows.values()):
         age_s = now - row.state_since
         if row.state is MemberState.SUSPECT and age_s >= SUSPECT_S:
             _set_state(table, row, MemberState.DEAD, now)
         elif _is_obsolete(row, zone, now):
-            del table.rows[row.instance]
+            table.remove(row.instance)
 
 
 def _is_obsolete(row: Member, zone: ZoneName, now: float) -> bool:
--- a/chiverun/core/messages.py
+++ b/chiverun/core/messages.py
@@ -169,18 +169,28 @@
     """Hands a seat to one process lifetime of an instance.
 
     The slots stay closed to short and long requests for `short_ms` and
-    `long_ms`. `sent_epoch_ms` is the sender's wall clock.
+    `long_ms`. `sent_epoch_ms` is the wall clock
+    of the giver.
     """
 
     seat: SeatIndex
     epoch: int
     instance: InstanceId
     life: LifeId
+    giver: Address
     short_ms: int
     long_ms: int
     sent_epoch_ms: int
 
 
+class SeatTaken(_Message, tag=12):
+    """Tells the giver of a seat that its transfer has arrived."""
+
+    seat: SeatIndex
+    epoch: int
+    life: LifeId
+
+
 class SeatMark(_Record):
     """The latest holder that the sender knows of a seat."""
 
@@ -209,6 +219,7 @@
     | SeatRequest
     | SeatTransfer
     | SeatMarks
+    | SeatTaken
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/chiverun/core/seats.py
+++ b/chiverun/core/seats.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import math
+import random
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
@@ -347,11 +348,19 @@
     )
 
 
-def richest_member(members: MemberTable, zone: ZoneName) -> Member | None:
-    """Return the live member that holds the most seats and stays."""
-    rows = [
-        m
+def choose_holder(
+    members: MemberTable, zone: ZoneName, held: int, rng: random.Random
+) -> Member | None:
+    """Choose a member that holds at least 2 more seats than `held`.
+
+    It is one of those with at least half the excess of the richest, so that
+    the requests of many poor instances do not all go to one.
+    """
+    excess = {
+        m.instance: len(m.advert.seats) - held
         for m in members.live_in_zone(zone)
         if m.advert is not None and not m.advert.leaving
-    ]
-    return max(rows, key=lambda m: len(m.advert.seats), default=None)
+    }
+    least = max(2.0, max(excess.values(), default=0) / 2)
+    rich = [i for i, seats in excess.items() if seats >= least]
+    return members.rows[rng.choice(rich)] if rich else None
--- a/chiverun/core/tables.py
+++ b/chiverun/core/tables.py
@@ -71,10 +71,14 @@
     """Known instances, without this one, and the state of probing them.
 
     `ended` are process lifetimes that have provably ended, since another
-    lifetime answered a later ping to their address.
+    lifetime answered a later ping to their address. `version` changes with
+    every change that look-ups must show at once.
     """
 
     rows: dict[InstanceId, Member] = dataclasses.field(default_factory=dict)
+    by_zone: dict[ZoneName, dict[InstanceId, Member]] = dataclasses.field(
+        default_factory=dict
+    )
     updates: dict[InstanceId, PendingUpdate] = dataclasses.field(
         default_factory=dict
     )
@@ -86,10 +90,28 @@
     ended: dict[LifeId, None] = dataclasses.field(default_factory=dict)
     sequence: int = 0
     next_probe_at: float = 0.0
+    expired_at: float = float("-inf")
+    version: int = 0
 
     def in_zone(self, zone: ZoneName) -> list[Member]:
         """Return the rows of a zone."""
-        return [m for m in self.rows.values() if m.zone == zone]
+        return list(self.by_zone.get(zone, {}).values())
+
+    def add(self, row: Member) -> None:
+        """Add a row, or file it under its present zone."""
+        known = self.rows.get(row.instance)
+        if known is not None:
+            self.remove(row.instance)
+        self.rows[row.instance] = row
+        self.by_zone.setdefault(row.zone, {})[row.instance] = row
+
+    def remove(self, instance: InstanceId) -> None:
+        """Remove a row."""
+        del self.rows[instance]
+        for zone, rows in list(self.by_zone.items()):
+            rows.pop(instance, None)
+            if not rows:
+                del self.by_zone[zone]
 
     def live_in_zone(self, zone: ZoneName) -> list[Member]:
         """Return the rows of a zone that are not known to be dead."""
--- a/chiverun/runtime/context.py
+++ b/chiverun/runtime/context.py
@@ -24,6 +24,7 @@
     from chiverun.core.admission import Admission
     from chiverun.core.clock import Clock
     from chiverun.core.snapshot import Snapshot
+    from chiverun.core.snapshot import ZoneView
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -91,3 +92,6 @@
         self.ticked_at: float | None = None
         self.seeds_pinged_at = float("-inf")
         self.chunks: dict[int, StateChunk] = {}
+        self.zone_views: dict[ZoneName, ZoneView] = {}
+        self.views_at = float("-inf")
+        self.views_key: tuple | None = None
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -19,6 +19,7 @@
 from chiverun.core.messages import Pull
 from chiverun.core.messages import SeatMarks
 from chiverun.core.messages import SeatRequest
+from chiverun.core.messages import SeatTaken
 from chiverun.core.messages import SeatTransfer
 from chiverun.core.messages import StateChunk
 from chiverun.core.messages import Tickets
@@ -98,6 +99,8 @@
                 seattransfer.on_seat_request(self, message)
             case SeatTransfer():
                 seattransfer.on_seat_transfer(self, message)
+            case SeatTaken():
+                seattransfer.on_seat_taken(self, message)
             case SeatMarks():
                 gossip.on_marks(self, message)
 
--- a/chiverun/runtime/membersystem.py
+++ b/chiverun/runtime/membersystem.py
@@ -15,6 +15,9 @@
     from chiverun.runtime.context import ControlContext
 
 _SEED_PERIOD_S = 1.0
+# All instances ping the same few seeds.
+_SEED_KNOWN_PERIOD_S = 5.0
+_START_S = 10.0
 WATCHERS_PER_ZONE = 2
 
 
@@ -45,13 +48,15 @@
 
 def _ping_seed(ctx: "ControlContext", now: float) -> None:
     """Ping one seed a period, so that a lost zone is found again."""
-    if now - ctx.seeds_pinged_at < _SEED_PERIOD_S:
+    known = {m.peer for m in ctx.members.rows.values() if m.is_live}
+    is_new = not known or now - ctx.started_at < _START_S
+    period_s = _SEED_PERIOD_S if is_new else _SEED_KNOWN_PERIOD_S
+    if now - ctx.seeds_pinged_at < period_s:
         return
     ctx.seeds_pinged_at = now
     seeds = [s for s in ctx.identity.seeds if s != ctx.identity.peer]
     if not seeds:
         return
-    known = {m.peer for m in ctx.members.rows.values() if m.is_live}
     unknown = [s for s in seeds if s not in known]
     gossip.ping(ctx, ctx.rng.choice(unknown or seeds), None, sequence=0)
 
--- a/chiverun/runtime/publishing.py
+++ b/chiverun/runtime/publishing.py
@@ -17,6 +17,9 @@
 
 # A remote instance not heard of for this long is left out of look-ups.
 REMOTE_LISTED_S = 15.0
+# Free slots in the views are at most this much older than the adverts; at
+# every tick the views took most of the control plane's time.
+_VIEWS_PERIOD_S = 0.5
 
 
 def publish(ctx: "ControlContext", now: float) -> None:
@@ -32,7 +35,7 @@
     return Snapshot(
         state=ctx.state,
         published_at=now,
-        zones=_zone_views(ctx, now),
+        zones=_current_views(ctx, now),
         seats=tuple(
             HeldSeat(
                 index=seat,
@@ -49,6 +52,18 @@
     )
 
 
+def _current_views(
+    ctx: "ControlContext", now: float
+) -> dict[ZoneName, ZoneView]:
+    """Return the views, made anew when due or when members changed."""
+    key = (ctx.members.version, ctx.state.number, ctx.is_leaving)
+    if key != ctx.views_key or now - ctx.views_at >= _VIEWS_PERIOD_S:
+        ctx.views_key = key
+        ctx.views_at = now
+        ctx.zone_views = _zone_views(ctx, now)
+    return ctx.zone_views
+
+
 def _zone_views(ctx: "ControlContext", now: float) -> dict[ZoneName, ZoneView]:
     rows: dict[ZoneName, list[Member]] = {}
     for row in ctx.members.rows.values():
--- a/chiverun/runtime/seatsystem.py
+++ b/chiverun/runtime/seatsystem.py
@@ -345,13 +345,15 @@
         name = owner.instance
         if name in rows or name == ctx.identity.instance:
             name = InstanceId(f"{owner.instance}~{owner.life}")
-        rows[name] = Member(
-            instance=name,
-            zone=ctx.identity.zone,
-            peer=owner.peer,
-            incarnation=owner.incarnation,
-            life=owner.life,
-            state_since=now,
-            noted_sequence=ctx.members.sequence,
+        ctx.members.add(
+            Member(
+                instance=name,
+                zone=ctx.identity.zone,
+                peer=owner.peer,
+                incarnation=owner.incarnation,
+                life=owner.life,
+                state_since=now,
+                noted_sequence=ctx.members.sequence,
+            )
         )
         ctx.members.probe_order.append(name)
--- a/chiverun/runtime/seattransfer.py
+++ b/chiverun/runtime/seattransfer.py
@@ -7,6 +7,7 @@
 from chiverun.core.ids import SeatIndex
 from chiverun.core.messages import MemberState
 from chiverun.core.messages import SeatRequest
+from chiverun.core.messages import SeatTaken
 from chiverun.core.messages import SeatTransfer
 from chiverun.core.tables import Held
 from chiverun.core.tables import Mark
@@ -30,13 +31,13 @@
 
 
 def request_share(ctx: "ControlContext", zone: Zone, now: float) -> None:
-    """Ask the richest holder for a part of its seats."""
+    """Ask one of the richer holders for a part of its seats."""
     if now - ctx.seats.requested_at < seat_rules.REQUEST_PERIOD_S:
         return
-    rich = seat_rules.richest_member(ctx.members, zone.name)
-    if rich is None or rich.advert is None:
-        return
-    if len(rich.advert.seats) - len(ctx.seats.held) < 2:
+    rich = seat_rules.choose_holder(
+        ctx.members, zone.name, len(ctx.seats.held), ctx.rng
+    )
+    if rich is None:
         return
     ctx.seats.requested_at = now
     ctx.send(
@@ -176,6 +177,7 @@
         epoch=transfer.epoch,
         instance=transfer.receiver,
         life=transfer.life,
+        giver=ctx.identity.peer,
         short_ms=_left_ms(transfer.short_from, now),
         long_ms=_left_ms(transfer.long_from, now),
         sent_epoch_ms=int(ctx.clock.wall() * 1000),
@@ -207,7 +209,11 @@
     age_s = ctx.clock.wall() - message.sent_epoch_ms / 1000.0
     if abs(age_s) > seat_rules.TRANSFER_AGE_MAX_S:
         return
+    taken = SeatTaken(
+        seat=message.seat, epoch=message.epoch, life=message.life
+    )
     if message.epoch <= ctx.seats.taken.get(message.seat, 0):
+        ctx.send(message.giver, taken)
         return
     known = ctx.seats.marks.get(message.seat)
     if known is not None and known > Mark(message.epoch, message.life):
@@ -221,11 +227,22 @@
         now + message.long_ms / 1000.0,
     )
     gain(ctx, message.seat, message.epoch)
+    ctx.send(message.giver, taken)
     # The giver writes the record too, but may die before it can.
     owner = own_owner(ctx, message.epoch)
     queue_write(ctx, {message.seat: owner}, {})
 
 
+def on_seat_taken(ctx: "ControlContext", message: SeatTaken) -> None:
+    """End a transfer whose receiver has the seat."""
+    transfer = ctx.seats.transfers.get(message.seat)
+    if transfer is not None and (transfer.epoch, transfer.life) == (
+        message.epoch,
+        message.life,
+    ):
+        del ctx.seats.transfers[message.seat]
+
+
 def gain(ctx: "ControlContext", seat: SeatIndex, epoch: int) -> None:
     """Note a seat that this instance holds from now on."""
     mark = Mark(epoch, ctx.identity.life)
--- a/standins/planes.py
+++ b/standins/planes.py
@@ -385,6 +385,8 @@
         self.store = MemoryStore()
         self.seeds = tuple(self.address(i) for i in range(seeds))
         self.cut_from_store: set[Address] = set()
+        # Receivers of messages to addresses without a control plane.
+        self.strangers: dict[Address, Callable[[Message], None]] = {}
         self.lifetimes: list[Lifetime] = []
         self.uses: dict[tuple[str, int], list[Use]] = collections.defaultdict(
             list
@@ -445,6 +447,8 @@
         for to, data in self.exchange.take_due():
             if to in by_peer:
                 by_peer[to].inbox.append(decode_message(data))
+            elif to in self.strangers:
+                self.strangers[to](decode_message(data))
 
     def overlaps(self) -> list[str]:
         """Return uses of one slot by two lifetimes at the same time."""
--- /dev/null
+++ b/tests/core/test_seats.py
@@ -0,0 +1,203 @@
+"""Tests of the decisions about seats."""
+
+import unittest
+
+from nose2.tools import params
+
+from chiverun.core.messages import MemberState
+from chiverun.core.messages import SeatMark
+from chiverun.core.seats import Claim
+from chiverun.core.seats import CLAIM_EPOCHS
+from chiverun.core.seats import ClaimPlan
+from chiverun.core.seats import ended_lives
+from chiverun.core.seats import held_after_claim
+from chiverun.core.seats import later_marks
+from chiverun.core.seats import lost_seats
+from chiverun.core.seats import marks_digest
+from chiverun.core.seats import note_mark
+from chiverun.core.seats import note_old_classes
+from chiverun.core.seats import OLD_CLASSES_MAX
+from chiverun.core.seats import SeatRecord
+from chiverun.core.seats import SEATS_MAX
+from chiverun.core.seats import select_claims
+from chiverun.core.seats import with_owners
+from chiverun.core.seats import without_owner
+from chiverun.core.tables import Held
+from chiverun.core.tables import Mark
+from chiverun.core.tables import Member
+from chiverun.core.tables import MemberTable
+from chiverun.core.tables import Owner
+from chiverun.core.tables import SeatTable
+from standins.planes import make_state
+from standins.planes import SHORT
+from standins.planes import ZONE
+
+_ME = Owner(instance="a", life="me", incarnation=1, peer="p1", epoch=0)
+
+
+def _owner(**fields) -> Owner:
+    values = {"instance": "b", "life": "b1", "incarnation": 1, "peer": "p2"}
+    return Owner(**{**values, "epoch": 3, **fields})
+
+
+def _plan(**fields) -> ClaimPlan:
+    values = {
+        "missing": frozenset({0}),
+        "most": 1,
+        "rank": 0,
+        "live": 1,
+        "ended": frozenset(),
+        "marks": {},
+        "overdue": frozenset(),
+    }
+    return ClaimPlan(**{**values, **fields})
+
+
+def _claim(epoch: int, was_used: bool = True) -> list[Claim]:
+    return [
+        Claim(seat=0, epoch=epoch + CLAIM_EPOCHS, was_used=was_used),
+    ]
+
+
+class SelectClaimsTest(unittest.TestCase):
+    @params(
+        ("never held", None, {}, _claim(0, False)),
+        ("live owner", _owner(), {}, []),
+        ("silent owner", _owner(), {"ended": frozenset({"b1"})}, _claim(3)),
+        ("own earlier process", _owner(peer="p1"), {}, _claim(3)),
+        ("namesake elsewhere", _owner(instance="a"), {}, []),
+        (
+            "own seat above the share",
+            _owner(life="me"),
+            {"most": 0},
+            _claim(3),
+        ),
+        ("above the share", None, {"most": 0}, []),
+        (
+            "record behind a live holder",
+            _owner(life="me"),
+            {"marks": {0: Mark(8, "c1")}},
+            [],
+        ),
+        (
+            "record behind a silent holder",
+            _owner(life="me"),
+            {"marks": {0: Mark(8, "c1")}, "ended": frozenset({"c1"})},
+            _claim(8),
+        ),
+        (
+            "holder never took the seat",
+            _owner(life="me"),
+            {"marks": {0: Mark(8, "c1")}, "overdue": frozenset({0})},
+            _claim(8),
+        ),
+    )
+    def test_claims(self, name, owner, plan, expected) -> None:
+        """A wrong claim lets two instances use one seat."""
+        record = SeatRecord(owners={0: owner} if owner else {})
+        claims = select_claims(record, _plan(**plan), _ME)
+        self.assertEqual(expected, claims, name)
+
+    def test_seat_given_up_counts_as_used(self) -> None:
+        record = SeatRecord(epochs={0: 5})
+        self.assertEqual(_claim(5), select_claims(record, _plan(), _ME))
+
+
+class RecordTest(unittest.TestCase):
+    def test_jobs_out_of_order(self) -> None:
+        """A retried write must not undo a later one."""
+        old, new = _owner(epoch=4), _owner(life="c1", epoch=5)
+        for order in ((old, new), (new, old)):
+            record = SeatRecord()
+            for owner in order:
+                record = with_owners(record, {0: owner})
+            self.assertEqual(new, record.owners[0])
+            self.assertEqual(record, without_owner(record, 0, 4))
+        given_up = without_owner(record, 0, 5)
+        self.assertEqual(given_up, with_owners(given_up, {0: new}))
+
+
+class MarksTest(unittest.TestCase):
+    def test_the_later_mark_wins_everywhere(self) -> None:
+        """Two holders with equal epochs both kept the seat."""
+        one, two = SeatTable(), SeatTable()
+        marks = [(4, "x"), (5, "x"), (5, "y")]
+        for epoch, life in marks:
+            note_mark(one, 0, Mark(epoch, life))
+        for epoch, life in reversed(marks):
+            note_mark(two, 0, Mark(epoch, life))
+        self.assertEqual(marks_digest(one), marks_digest(two))
+        one.held[0] = Held(epoch=5, short_from=0.0, long_from=0.0)
+        self.assertEqual({0}, lost_seats(one, "x"))
+        self.assertEqual(set(), lost_seats(one, "y"))
+        stale = SeatMark(seat=0, epoch=5, life="x")
+        fresh = SeatMark(seat=0, epoch=5, life="y")
+        self.assertEqual((fresh,), later_marks(one, (stale,)))
+        self.assertEqual((), later_marks(one, (fresh,)))
+
+    @params(-1, SEATS_MAX)
+    def test_marks_are_bounded(self, seat) -> None:
+        table = SeatTable()
+        self.assertFalse(note_mark(table, seat, Mark(1, "x")))
+        self.assertEqual({}, table.marks)
+
+
+class EndedLivesTest(unittest.TestCase):
+    @params(
+        ({}, True),
+        ({"checks": 2}, False),
+        ({"checked_at": 99.8}, False),
+        ({"acked_at": 95.0}, False),
+        ({"measured_at": 97.0}, False),
+        ({"state": MemberState.SUSPECT}, False),
+        ({"state_since": 99.5, "acked_at": 0.0}, False),
+    )
+    def test_only_own_silence_counts(self, fields, is_ended) -> None:
+        """News of a death alone made live holders lose their seats."""
+        values = {
+            "state": MemberState.DEAD,
+            "state_since": 90.0,
+            "checks": 3,
+            "checked_at": 92.0,
+        }
+        members = MemberTable()
+        members.add(
+            Member(
+                instance="b",
+                zone=ZONE,
+                peer="p2",
+                incarnation=1,
+                life="b1",
+                **{**values, **fields},
+            )
+        )
+        expected = {"b1"} if is_ended else set()
+        self.assertEqual(expected, ended_lives(members, ZONE, 100.0))
+
+
+class OpeningTest(unittest.TestCase):
+    @params(
+        ("unchanged", {}, 1.5),
+        ("slot was long", {"long_slots": 0}, 6.0),
+        ("slot became long", {"long_slots": 3}, 6.0),
+        ("shorter deadline", {"classes": (SHORT,)}, 1.5),
+    )
+    def test_work_under_an_earlier_ticket(self, name, fields, least) -> None:
+        """Slots opened while work under an earlier ticket still ran."""
+        table, old = SeatTable(), make_state()
+        new = make_state(**fields)
+        note_old_classes(table, old, new, 100.0)
+        claim = Claim(seat=0, epoch=5, was_used=True)
+        held = held_after_claim(table, new, claim, 100.5)
+        self.assertGreaterEqual(held.short_from, 100.5 + least, name)
+        self.assertGreaterEqual(held.long_from, 106.0, name)
+        late = held_after_claim(table, new, claim, 200.0)
+        self.assertLess(late.short_from, 204.0, name)
+
+    def test_kept_deadlines_are_bounded(self) -> None:
+        table = SeatTable()
+        for number in range(2 * OLD_CLASSES_MAX):
+            old = make_state(long_slots=number % 2)
+            new = make_state(long_slots=1 - number % 2)
+            note_old_classes(table, old, new, 100.0)
+        self.assertEqual(OLD_CLASSES_MAX, len(table.old_classes))
