Bound the peer queue and mailbox; keep the store worker and timer sound

Cause: a malformed seat record raised in the store worker's actor, which ends it and with it all claims; the queue to peers could hold 4,096 messages of any size, and the control mailbox had no bound; after a pause a timer subscriber was called twice at once; stop() of a transport that was not started raised. Change: a malformed record counts as an unavailable store, any other exception is logged and reported; at most 32 MB wait to be sent, the receive mark is 512 messages, messages are dropped above 2,000 in the mailbox; the timer skips missed periods; stop() before start() returns. Conclusion: memory of the transport is bounded; the worker outlives bad data.

--- a/chiverun/core/timer.py
+++ b/chiverun/core/timer.py
@@ -72,7 +72,10 @@
                 due.call()
             except Exception:
                 _LOG.exception("timer subscriber failed")
-            due.at = max(due.at + due.period_s, self._clock.monotonic())
+            due.at += due.period_s
+            now = self._clock.monotonic()
+            if due.at <= now:
+                due.at = now + due.period_s
             with self._changed:
                 heapq.heappush(self._due, due)
 
--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -14,6 +14,10 @@
 
 _MESSAGE_BYTES_MAX = 2 * 1024 * 1024
 _HIGH_WATER_MARK = 256
+_RECEIVE_HIGH_WATER_MARK = 512
+# Bounds what can wait to be sent; the oldest messages are dropped first.
+OUTBOX_BYTES_MAX = 32 * 1024 * 1024
+_OUTBOX_MESSAGES_MAX = 4096
 _CONNECTIONS_MAX = 256
 _IDLE_S = 60.0
 _POLL_MS = 500
@@ -31,15 +35,18 @@
         self._addresses = addresses
         self._context = zmq.Context(io_threads=1)
         self._outbox: collections.deque[tuple[Address, bytes]] = (
-            collections.deque(maxlen=4096)
+            collections.deque()
         )
+        self._outbox_bytes = 0
         self._wake_lock = threading.Lock()
         self._stopping = threading.Event()
+        self._thread: threading.Thread | None = None
         self._dealers: collections.OrderedDict[
             Address, tuple[zmq.Socket, float]
         ] = collections.OrderedDict()
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.messages_dropped = 0
 
     def start(self, receive: Callable[[bytes], None]) -> None:
         """Bind and begin; `receive` is called on the transport's thread.
@@ -52,7 +59,7 @@
         self._router = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.setsockopt(zmq.MAXMSGSIZE, _MESSAGE_BYTES_MAX)
-        self._router.setsockopt(zmq.RCVHWM, 4096)
+        self._router.setsockopt(zmq.RCVHWM, _RECEIVE_HIGH_WATER_MARK)
         try:
             self._router.bind(f"tcp://{self._bind}")
         except zmq.ZMQError as exc:
@@ -72,8 +79,16 @@
 
     def send(self, address: Address, payload: bytes) -> None:
         """Queue a message; it is dropped if the peer is not connected."""
-        self._outbox.append((address, payload))
         with self._wake_lock:
+            self._outbox.append((address, payload))
+            self._outbox_bytes += len(payload)
+            while (
+                len(self._outbox) > _OUTBOX_MESSAGES_MAX
+                or self._outbox_bytes > OUTBOX_BYTES_MAX
+            ):
+                _, dropped = self._outbox.popleft()
+                self._outbox_bytes -= len(dropped)
+                self.messages_dropped += 1
             if not self._stopping.is_set():
                 try:
                     self._wake_out.send(b"", zmq.NOBLOCK)
@@ -84,6 +99,8 @@
         """Send what is queued and close the sockets."""
         with self._wake_lock:
             self._stopping.set()
+            if self._thread is None:
+                return
             try:
                 self._wake_out.send(b"", zmq.NOBLOCK)
             except zmq.ZMQError:
@@ -116,13 +133,17 @@
                 self._receive(parts[1])
 
     def _send_out(self) -> None:
-        while self._outbox:
-            address, payload = self._outbox.popleft()
+        while True:
+            with self._wake_lock:
+                if not self._outbox:
+                    return
+                address, payload = self._outbox.popleft()
+                self._outbox_bytes -= len(payload)
             try:
                 self._dealer(address).send(payload, zmq.NOBLOCK)
                 self.bytes_sent += len(payload)
             except zmq.ZMQError:
-                continue
+                self.messages_dropped += 1
 
     def _dealer(self, address: Address) -> zmq.Socket:
         now = time.monotonic()
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -53,6 +53,8 @@
 LEAVE_SPREAD_S = 2.0
 HAND_OVER_LIMIT_S = 5.0
 _POLL_S = 0.05
+# Peers' messages are dropped while the control actor lags this far behind.
+_MAILBOX_MAX = 2000
 _BACKEND_CONNECTIONS = 16
 _LOG = logbook.Logger("instance")
 
@@ -302,4 +304,5 @@
         except ChiverunError as exc:
             _LOG.warning("peer message dropped", extra={"e": str(exc)})
             return
-        self._tell(message)
+        if self._control.actor_inbox.qsize() < _MAILBOX_MAX:
+            self._tell(message)
--- a/chiverun/runtime/storeworker.py
+++ b/chiverun/runtime/storeworker.py
@@ -53,11 +53,24 @@
         self._key = f"chiverun/seats/{zone}"
 
     def read(self) -> tuple[SeatRecord, int]:
-        """Return the record and its index; 0 if there is none."""
+        """Return the record and its index; 0 if there is none.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer, or the record is malformed; an empty
+            record in its place would free the seats of live holders.
+        """
         item = self._store.get(self._key)
         if item is None:
             return SeatRecord(), 0
-        return msgspec.msgpack.decode(item.value, type=SeatRecord), item.index
+        try:
+            record = msgspec.msgpack.decode(item.value, type=SeatRecord)
+        except (msgspec.DecodeError, ValueError) as exc:
+            raise StoreUnavailable(
+                f"{self._key} is malformed: {exc}; valid: a seat record"
+            ) from exc
+        return record, item.index
 
     def claim(self, job: ClaimSeats) -> tuple[list[Claim], SeatRecord]:
         """Claim what the job's plan allows; return what took effect."""
@@ -119,35 +132,42 @@
         self._report = report
 
     def on_receive(self, message: StoreJob) -> None:
-        match message:
+        try:
+            report = run_job(self._records, message)
+        except Exception:
+            # An exception would end the actor, and with it all claims.
+            _LOG.exception("store job failed")
+            report = failed_report(message)
+        self._report(report)
+
+
+def run_job(records: SeatRecords, job: StoreJob) -> StoreReport:
+    """Run a job and return its report, also when the store is down."""
+    try:
+        match job:
             case ClaimSeats():
-                self._report(self._claim(message))
+                claims, record = records.claim(job)
+                return SeatsClaimed(claims=tuple(claims), record=record)
             case ReadSeats(asked_at=asked_at):
-                self._report(self._read(asked_at))
+                record, _ = records.read()
+                return SeatsRead(record=record, asked_at=asked_at)
             case WriteSeats():
-                self._report(self._write(message))
+                records.write(job)
+                return SeatsWritten(is_done=True, job=job)
+    except StoreUnavailable as exc:
+        _LOG.warning("seat record", extra={"e": str(exc)})
+        return failed_report(job)
 
-    def _claim(self, job: ClaimSeats) -> SeatsClaimed:
-        try:
-            claims, record = self._records.claim(job)
-        except StoreUnavailable:
-            return SeatsClaimed(claims=(), record=None)
-        return SeatsClaimed(claims=tuple(claims), record=record)
 
-    def _read(self, asked_at: float) -> SeatsRead:
-        try:
-            record, _ = self._records.read()
-        except StoreUnavailable:
+def failed_report(job: StoreJob) -> StoreReport:
+    """Return the report of a job that the store did not take."""
+    match job:
+        case ClaimSeats():
+            return SeatsClaimed(claims=(), record=None)
+        case ReadSeats(asked_at=asked_at):
             return SeatsRead(record=None, asked_at=asked_at)
-        return SeatsRead(record=record, asked_at=asked_at)
-
-    def _write(self, job: WriteSeats) -> SeatsWritten:
-        try:
-            self._records.write(job)
-        except StoreUnavailable as exc:
-            _LOG.warning("seat record not written", extra={"e": str(exc)})
+        case WriteSeats():
             return SeatsWritten(is_done=False, job=job)
-        return SeatsWritten(is_done=True, job=job)
 
 
 class HeadWatch:
--- a/standins/planes.py
+++ b/standins/planes.py
@@ -44,14 +44,10 @@
 from chiverun.integrations.interfaces import StoreUnavailable
 from chiverun.runtime.control import ControlPlane
 from chiverun.runtime.control import Identity
-from chiverun.runtime.events import ClaimSeats
 from chiverun.runtime.events import Event
-from chiverun.runtime.events import ReadSeats
-from chiverun.runtime.events import SeatsClaimed
-from chiverun.runtime.events import SeatsRead
-from chiverun.runtime.events import SeatsWritten
 from chiverun.runtime.events import StateRead
 from chiverun.runtime.events import StoreJob
+from chiverun.runtime.storeworker import run_job
 from chiverun.runtime.storeworker import SeatRecords
 
 STEP_S = 0.1
@@ -306,27 +302,7 @@
     def _run_job(self) -> None:
         if not self.jobs:
             return
-        job = self.jobs.popleft()
-        try:
-            match job:
-                case ClaimSeats():
-                    claims, record = self.records.claim(job)
-                    report = SeatsClaimed(claims=tuple(claims), record=record)
-                case ReadSeats(asked_at=asked_at):
-                    record, _ = self.records.read()
-                    report = SeatsRead(record=record, asked_at=asked_at)
-                case _:
-                    self.records.write(job)
-                    report = SeatsWritten(is_done=True, job=job)
-        except StoreUnavailable:
-            match job:
-                case ClaimSeats():
-                    report = SeatsClaimed(claims=(), record=None)
-                case ReadSeats(asked_at=asked_at):
-                    report = SeatsRead(record=None, asked_at=asked_at)
-                case _:
-                    report = SeatsWritten(is_done=False, job=job)
-        self.inbox.append(report)
+        self.inbox.append(run_job(self.records, self.jobs.popleft()))
 
     def _work(self) -> None:
         now = self._planes.clock.monotonic()
--- /dev/null
+++ b/tests/integrations/test_peers.py
@@ -0,0 +1,78 @@
+"""Tests of the pyzmq transport."""
+
+import socket
+import threading
+import time
+import unittest
+
+from chiverun.core.errors import ChiverunError
+from chiverun.integrations import peers as peers_module
+from chiverun.integrations.network import AddressMap
+from chiverun.integrations.peers import ZmqPeers
+
+
+def _address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class PeersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self._received: list[bytes] = []
+        self._arrived = threading.Condition()
+        self._to = _address()
+        self.one = ZmqPeers(bind=_address(), addresses=AddressMap(mapping={}))
+        self.two = ZmqPeers(bind=self._to, addresses=AddressMap(mapping={}))
+        self.one.start(lambda data: None)
+        self.addCleanup(self.one.stop)
+        self.addCleanup(self.two.stop)
+
+    def _take(self, data: bytes) -> None:
+        with self._arrived:
+            self._received.append(data)
+            self._arrived.notify_all()
+
+    def _await(self, count: int) -> None:
+        with self._arrived:
+            done = self._arrived.wait_for(
+                lambda: len(self._received) >= count, timeout=5
+            )
+        self.assertTrue(done, f"{len(self._received)} of {count} arrived")
+
+    def test_messages_before_and_after_the_peer_starts(self) -> None:
+        self.one.send(self._to, b"early")
+        self.two.start(self._take)
+        self._await(1)
+        self.one.send(self._to, b"late")
+        self._await(2)
+        self.assertEqual([b"early", b"late"], self._received)
+
+    def test_oversized_message_does_not_arrive(self) -> None:
+        """A peer must not be able to fill this process's memory."""
+        self.two.start(self._take)
+        self.one.send(self._to, b"x" * (3 * 1024 * 1024))
+        self.one.send(self._to, b"small")
+        deadline = time.monotonic() + 5
+        while not self._received and time.monotonic() < deadline:
+            self.one.send(self._to, b"small")
+            time.sleep(0.1)
+        self.assertEqual({b"small"}, set(self._received))
+
+    def test_queue_to_send_is_bounded(self) -> None:
+        idle = ZmqPeers(bind=_address(), addresses=AddressMap(mapping={}))
+        idle._stopping.set()
+        part = b"x" * (1024 * 1024)
+        for _ in range(2 * peers_module.OUTBOX_BYTES_MAX // len(part)):
+            idle.send(self._to, part)
+        self.assertLessEqual(idle._outbox_bytes, peers_module.OUTBOX_BYTES_MAX)
+        self.assertEqual(
+            idle._outbox_bytes, sum(len(p) for _, p in idle._outbox)
+        )
+
+    def test_address_in_use(self) -> None:
+        """Two processes at one address would both claim its seats."""
+        self.two.start(self._take)
+        other = ZmqPeers(bind=self._to, addresses=AddressMap(mapping={}))
+        with self.assertRaises(ChiverunError):
+            other.start(self._take)
