Keep seats closed after a ticket changes the number of seats

Cause: a new number of seats assigns slots to other seats, while requests admitted before may still run; the next ticket can make the servers active again within their deadline. Change: such a ticket closes held seats, and seats claimed for the first time, until the longest earlier deadline has passed. A late transfer that is refused is logged. A test covers a record that names another holder at a lower epoch after a pause. Measured: test_work_under_another_number_of_seats; the code before took no account of the number of seats. Conclusion: an instance that starts after such a ticket does not know the earlier deadlines; this is listed as not proved.

--- a/chiverun/core/seats.py
+++ b/chiverun/core/seats.py
@@ -34,6 +34,7 @@
 from chiverun.core.ticket import Length
 from chiverun.core.ticket import Server
 from chiverun.core.ticket import Service
+from chiverun.core.ticket import Zone
 
 if TYPE_CHECKING:
     from chiverun.core.state import State
@@ -273,23 +274,41 @@
 
 
 def note_old_classes(
-    table: SeatTable, old: "State", new: "State", now: float
+    table: SeatTable,
+    old: "State",
+    new: "State",
+    zone: ZoneName,
+    now: float,
 ) -> None:
-    """Keep the deadlines of a state while work under it may still run."""
+    """Keep the deadlines of a state while work under it may still run.
+
+    With another number of seats the slots belong to other seats, so that
+    held ones are closed until the work on the slots has ended.
+    """
     table.old_classes = [o for o in table.old_classes if o.until > now]
     short_s = longest_deadline_s(old, Length.SHORT)
     long_s = longest_deadline_s(old, Length.LONG)
     is_relaid = _long_slots(old) != _long_slots(new)
+    is_reseated = zone in old.of(Zone) and old.of(Zone)[zone].seats != _seats(
+        new, zone
+    )
+    until = now + max(short_s, long_s) + CLOCK_MARGIN_S
+    if is_reseated:
+        for held in table.held.values():
+            held.short_from = max(held.short_from, until)
+            held.long_from = max(held.long_from, until)
     if (
         is_relaid
+        or is_reseated
         or longest_deadline_s(new, Length.SHORT) < short_s
         or longest_deadline_s(new, Length.LONG) < long_s
     ):
         kept = OldClasses(
-            until=now + max(short_s, long_s) + CLOCK_MARGIN_S,
+            until=until,
             short_s=short_s,
             long_s=long_s,
-            is_relaid=is_relaid,
+            is_relaid=is_relaid or is_reseated,
+            is_reseated=is_reseated,
         )
         table.old_classes.append(kept)
     if len(table.old_classes) > OLD_CLASSES_MAX:
@@ -303,9 +322,15 @@
         short_s=max(first.short_s, second.short_s),
         long_s=max(first.long_s, second.long_s),
         is_relaid=first.is_relaid or second.is_relaid,
+        is_reseated=first.is_reseated or second.is_reseated,
     )
 
 
+def _seats(state: "State", zone: ZoneName) -> int:
+    known = state.of(Zone).get(zone)
+    return known.seats if known is not None else 0
+
+
 def _long_slots(state: "State") -> dict[str, int]:
     return {s.name: s.long_slots for s in state.of(Server).values()}
 
@@ -314,14 +339,14 @@
     table: SeatTable, state: "State", claim: Claim, now: float
 ) -> Held:
     """Return the held seat, opening when no earlier work can still run."""
-    if not claim.was_used:
+    old_classes = [o for o in table.old_classes if o.until > now]
+    if not claim.was_used and not any(o.is_reseated for o in old_classes):
         return Held(epoch=claim.epoch, short_from=now, long_from=now)
     short_s = longest_deadline_s(state, Length.SHORT)
     long_s = longest_deadline_s(state, Length.LONG)
-    for old in table.old_classes:
-        if old.until > now:
-            long_s = max(long_s, old.long_s)
-            short_s = max(short_s, long_s if old.is_relaid else old.short_s)
+    for old in old_classes:
+        long_s = max(long_s, old.long_s)
+        short_s = max(short_s, long_s if old.is_relaid else old.short_s)
     margin_s = CLOCK_MARGIN_S + NEWS_MARGIN_S
     short_from = now + max(short_s + margin_s, SHIFT_WINDOW_S)
     return Held(
--- a/chiverun/core/tables.py
+++ b/chiverun/core/tables.py
@@ -169,13 +169,15 @@
     """Deadlines that were in force before a ticket changed them.
 
     Work admitted under them may run until `until`. With `is_relaid`, a slot
-    may have carried a long request that carries only short ones now.
+    may have carried a long request that carries only short ones now; with
+    `is_reseated` it belonged to another seat.
     """
 
     until: float
     short_s: float
     long_s: float
     is_relaid: bool
+    is_reseated: bool
 
 
 @dataclasses.dataclass(frozen=True, order=True)
--- a/chiverun/runtime/seattransfer.py
+++ b/chiverun/runtime/seattransfer.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+import logbook
+
 from chiverun.core import seats as seat_rules
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import SeatIndex
@@ -28,6 +30,7 @@
 _NEWS_SENDS = 4
 _WRITE_RETRY_S = 0.5
 _WRITE_LIMIT_S = 30.0
+_LOG = logbook.Logger("control")
 
 
 def request_share(ctx: "ControlContext", zone: Zone, now: float) -> None:
@@ -208,6 +211,10 @@
         return
     age_s = ctx.clock.wall() - message.sent_epoch_ms / 1000.0
     if abs(age_s) > seat_rules.TRANSFER_AGE_MAX_S:
+        _LOG.warning(
+            "late seat transfer refused",
+            extra={"seat": message.seat, "age_s": round(age_s, 3)},
+        )
         return
     taken = SeatTaken(
         seat=message.seat, epoch=message.epoch, life=message.life
--- a/chiverun/runtime/ticketspread.py
+++ b/chiverun/runtime/ticketspread.py
@@ -107,7 +107,9 @@
     if ctx.state.number == before.number:
         return
     now = ctx.clock.monotonic()
-    seat_rules.note_old_classes(ctx.seats, before, ctx.state, now)
+    seat_rules.note_old_classes(
+        ctx.seats, before, ctx.state, ctx.identity.zone, now
+    )
     ctx.in_force_at = now
     publishing.publish(ctx, now)
     _LOG.info("ticket in force", extra={"number": ctx.state.number})
--- a/tests/core/test_seats.py
+++ b/tests/core/test_seats.py
@@ -186,7 +186,7 @@
         """Slots opened while work under an earlier ticket still ran."""
         table, old = SeatTable(), make_state()
         new = make_state(**fields)
-        note_old_classes(table, old, new, 100.0)
+        note_old_classes(table, old, new, ZONE, 100.0)
         claim = Claim(seat=0, epoch=5, was_used=True)
         held = held_after_claim(table, new, claim, 100.5)
         self.assertGreaterEqual(held.short_from, 100.5 + least, name)
@@ -194,10 +194,24 @@
         late = held_after_claim(table, new, claim, 200.0)
         self.assertLess(late.short_from, 204.0, name)
 
+    def test_work_under_another_number_of_seats(self) -> None:
+        """Slots moved to seats of other holders while work still ran."""
+        table, old, new = SeatTable(), make_state(), make_state(seats=8)
+        table.held[0] = Held(epoch=1, short_from=0.0, long_from=0.0)
+        note_old_classes(table, old, new, ZONE, 100.0)
+        claim = Claim(seat=7, epoch=1, was_used=False)
+        for held in (
+            table.held[0],
+            held_after_claim(table, new, claim, 101.0),
+        ):
+            self.assertGreaterEqual(held.short_from, 106.0)
+        late = held_after_claim(table, new, claim, 200.0)
+        self.assertEqual(200.0, late.short_from)
+
     def test_kept_deadlines_are_bounded(self) -> None:
         table = SeatTable()
         for number in range(2 * OLD_CLASSES_MAX):
             old = make_state(long_slots=number % 2)
             new = make_state(long_slots=1 - number % 2)
-            note_old_classes(table, old, new, 100.0)
+            note_old_classes(table, old, new, ZONE, 100.0)
         self.assertEqual(OLD_CLASSES_MAX, len(table.old_classes))
--- a/tests/runtime/test_seatsystem.py
+++ b/tests/runtime/test_seatsystem.py
@@ -205,6 +205,24 @@
                 epoch = lifetime.plane.seats.held[seat].epoch
                 self.assertGreater(epoch, before[seat])
 
+    def test_record_names_another_holder_after_a_pause(self) -> None:
+        """A claim from a restored record had an epoch below the holder's."""
+        planes, (one,) = self._planes(1, **_QUIET)
+        record, _ = one.records.read()
+        other = msgspec.structs.replace(
+            record.owners[0], life="other", peer="127.9.9.9:1", epoch=1
+        )
+        record.owners[0] = other
+        for seat in one.plane.seats.held.values():
+            seat.epoch = 100
+        key = f"chiverun/seats/{ZONE}"
+        index = planes.store.items[key][1]
+        planes.store.put(key, msgspec.msgpack.encode(record), cas=index)
+        self._pass_time(planes, 10.0)
+        planes.run(4.0)
+        self.assertEqual({1, 2, 3, 4, 5}, one.held)
+        self.assertTrue(one.plane.snapshot.confirmed)
+
     def test_restored_record_is_repaired(self) -> None:
         """A restored record named owners that had given their seats away."""
         planes, (one, two) = self._planes(2, **_QUIET)
