Test the seat rules that random schedules of three instances do not reach

Cause: with single rules taken out, the random schedules passed without the news of claims, the end of transfers at a pause and the record written by the receiver. Change: one test for each, and one of a holder among twelve that is cut from its peers.

--- a/tests/runtime/test_seatsystem.py
+++ b/tests/runtime/test_seatsystem.py
@@ -9,9 +9,11 @@
 from chiverun.core.messages import Ack
 from chiverun.core.messages import MemberState
 from chiverun.core.messages import MemberUpdate
+from chiverun.core.messages import SeatMarks
 from chiverun.core.messages import SeatRequest
 from chiverun.core.messages import SeatTransfer
 from chiverun.core.messages import Tickets
+from chiverun.core.seats import NEWS_MARGIN_S
 from chiverun.core.state import apply_ticket
 from chiverun.core.ticket import Zone
 from chiverun.core.ticketlog import Entry
@@ -223,6 +225,64 @@
         self.assertEqual({1, 2, 3, 4, 5}, one.held)
         self.assertTrue(one.plane.snapshot.confirmed)
 
+    def test_unanswered_transfer_ends_with_a_pause(self) -> None:
+        """A transfer repeated after a pause came after a claim."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        planes.exchange.is_cut = lambda a, b: b == two.peer
+        one.plane.handle(Leave())
+        one.plane.handle(HandOver())
+        planes.run(0.5)
+        self.assertTrue(one.plane.seats.transfers)
+        self._pass_time(planes, 10.0)
+        one.plane.tick()
+        self.assertEqual({}, one.plane.seats.transfers)
+
+    def test_receiver_writes_the_record(self) -> None:
+        """A giver that died before it could write left a wrong owner."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        planes.cut_from_store.add(two.peer)
+        two.plane.handle(Leave())
+        two.plane.handle(HandOver())
+        planes.run(2.0)
+        two.is_dead = True
+        record, _ = one.records.read()
+        self.assertEqual({one.life}, {o.life for o in record.owners.values()})
+
+    def test_claims_are_told_to_the_member_taken_for_dead(self) -> None:
+        """A live holder wrongly taken for dead went on using its seats."""
+        planes, (one, two) = self._planes(2, **_QUIET)
+        two.is_dead = True
+        told = []
+        send = one.plane.send
+        one.plane.send = lambda to, m: (told.append((to, m)), send(to, m))
+        planes.run_until(lambda: len(one.held) == 6, 30)
+        planes.run(2.0)
+        news = [
+            m for to, m in told if to == two.peer and isinstance(m, SeatMarks)
+        ]
+        self.assertGreaterEqual(len(news), 4)
+
+    def test_holder_cut_from_its_peers_reads_the_record(self) -> None:
+        """In a large zone it takes an instance long to see that it is cut
+        off, while the others soon claim its seats.
+        """
+        state = make_state(seats=24)
+        planes, started = self._planes(12, state=state, load=())
+        cut = started[-1]
+        planes.exchange.is_cut = lambda a, b: cut.peer in (a, b)
+        both_since: dict[int, float] = {}
+        longest_s = 0.0
+        for _ in range(300):
+            planes.run(0.1)
+            now = planes.clock.monotonic()
+            others = set().union(*(p.held for p in started[:-1]))
+            both = others & cut.held
+            both_since = {s: both_since.get(s, now) for s in both}
+            for since in both_since.values():
+                longest_s = max(longest_s, now - since)
+        self.assertGreater(longest_s, 0.0)
+        self.assertLess(longest_s, NEWS_MARGIN_S)
+
     def test_restored_record_is_repaired(self) -> None:
         """A restored record named owners that had given their seats away."""
         planes, (one, two) = self._planes(2, **_QUIET)
