--- a/standins/measure_control.py
+++ b/standins/measure_control.py
@@ -57,6 +57,7 @@
 PROCESSES = 6
 _TARGET_INSTANCES = 67
 _WARM_S = 50.0
+_DETECT_WARM_S = 20.0
 _MEASURE_S = 20.0
 _PROCESS_S = 12.0
 _DETECT_LIMIT_S = 30.0
@@ -220,7 +221,7 @@
 
 def _measure_detection(seed: int, instances: int) -> dict[str, Any]:
     planes = _build(seed, instances, 0)
-    planes.run(_WARM_S)
+    planes.run(_DETECT_WARM_S)
     victim = planes.lifetimes[instances // 2]
     seats = victim.held
     victim.is_dead = True
--- a/tests/runtime/test_seatsystem.py
+++ b/tests/runtime/test_seatsystem.py
@@ -13,6 +13,7 @@
 from chiverun.core.messages import SeatRequest
 from chiverun.core.messages import SeatTransfer
 from chiverun.core.messages import Tickets
+from chiverun.core.seats import CLAIM_EPOCHS
 from chiverun.core.seats import NEWS_MARGIN_S
 from chiverun.core.state import apply_ticket
 from chiverun.core.ticket import Zone
@@ -258,7 +259,11 @@
         planes.run_until(lambda: len(one.held) == 6, 30)
         planes.run(2.0)
         news = [
-            m for to, m in told if to == two.peer and isinstance(m, SeatMarks)
+            m
+            for to, m in told
+            if to == two.peer
+            and isinstance(m, SeatMarks)
+            and any(mark.epoch >= 2 * CLAIM_EPOCHS for mark in m.marks)
         ]
         self.assertGreaterEqual(len(news), 4)
 
