--- a/chiverun/core/tables.py
+++ b/chiverun/core/tables.py
@@ -71,10 +71,14 @@
     """Known instances, without this one, and the state of probing them.
 
     `ended` are process lifetimes that have provably ended, since another
-    lifetime answered a later ping to their address.
+    lifetime answered a later ping to their address. `version` changes with
+    every change that look-ups must show at once.
     """
 
     rows: dict[InstanceId, Member] = dataclasses.field(default_factory=dict)
+    by_zone: dict[ZoneName, dict[InstanceId, Member]] = dataclasses.field(
+        default_factory=dict
+    )
     updates: dict[InstanceId, PendingUpdate] = dataclasses.field(
         default_factory=dict
     )
@@ -86,11 +90,30 @@
     ended: dict[LifeId, None] = dataclasses.field(default_factory=dict)
     sequence: int = 0
     next_probe_at: float = 0.0
+    expired_at: float = float("-inf")
+    version: int = 0
 
     def in_zone(self, zone: ZoneName) -> list[Member]:
         """Return the rows of a zone."""
-        # The store's follower reads rows while control adds to them.
-        return [m for m in list(self.rows.values()) if m.zone == zone]
+        # The store's follower reads rows while control adds to them; a list
+        # of a dict's values is made in one step.
+        return list(self.by_zone.get(zone, {}).values())
+
+    def add(self, row: Member) -> None:
+        """Add a row, or file it under its present zone."""
+        known = self.rows.get(row.instance)
+        if known is not None:
+            self.remove(row.instance)
+        self.rows[row.instance] = row
+        self.by_zone.setdefault(row.zone, {})[row.instance] = row
+
+    def remove(self, instance: InstanceId) -> None:
+        """Remove a row."""
+        del self.rows[instance]
+        for zone, rows in list(self.by_zone.items()):
+            rows.pop(instance, None)
+            if not rows:
+                del self.by_zone[zone]
 
     def live_in_zone(self, zone: ZoneName) -> list[Member]:
         """Return the rows of a zone that are not known to be dead."""
@@ -148,13 +171,15 @@
     """Deadlines that were in force before a ticket changed them.
 
     Work admitted under them may run until `until`. With `is_relaid`, a slot
-    may have carried a long request that carries only short ones now.
+    may have carried a long request that carries only short ones now; with
+    `is_reseated` it belonged to another seat.
     """
 
     until: float
     short_s: float
     long_s: float
     is_relaid: bool
+    is_reseated: bool
 
 
 @dataclasses.dataclass(frozen=True, order=True)
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -61,6 +61,8 @@
 # Time to write responses after the longest deadline of any request.
 FINISH_MARGIN_S = 5.0
 _POLL_S = 0.05
+# Peers' messages are dropped while the control actor lags this far behind.
+_MAILBOX_MAX = 2000
 _BACKEND_CONNECTIONS = 16
 _LOG = logbook.Logger("instance")
 
@@ -366,4 +368,5 @@
         except ChiverunError as exc:
             _LOG.warning("peer message dropped", extra={"e": str(exc)})
             return
-        self._tell(message)
+        if self._control.actor_inbox.qsize() < _MAILBOX_MAX:
+            self._tell(message)
--- a/chiverun/runtime/ticketspread.py
+++ b/chiverun/runtime/ticketspread.py
@@ -114,7 +114,9 @@
     now = ctx.clock.monotonic()
     # Raised again by the next exchange if the other history is still met.
     ctx.fork = None
-    seat_rules.note_old_classes(ctx.seats, before, ctx.state, now)
+    seat_rules.note_old_classes(
+        ctx.seats, before, ctx.state, ctx.identity.zone, now
+    )
     ctx.in_force_at = now
     publishing.publish(ctx, now)
     _LOG.info("ticket in force", extra={"number": ctx.state.number})
--- a/standins/planes.py
+++ b/standins/planes.py
@@ -44,14 +44,10 @@
 from chiverun.integrations.interfaces import StoreUnavailable
 from chiverun.runtime.control import ControlPlane
 from chiverun.runtime.control import Identity
-from chiverun.runtime.events import ClaimSeats
 from chiverun.runtime.events import Event
-from chiverun.runtime.events import ReadSeats
-from chiverun.runtime.events import SeatsClaimed
-from chiverun.runtime.events import SeatsRead
-from chiverun.runtime.events import SeatsWritten
 from chiverun.runtime.events import StateRead
 from chiverun.runtime.events import StoreJob
+from chiverun.runtime.storeworker import run_job
 from chiverun.runtime.storeworker import SeatRecords
 
 STEP_S = 0.1
@@ -306,27 +302,7 @@
     def _run_job(self) -> None:
         if not self.jobs:
             return
-        job = self.jobs.popleft()
-        try:
-            match job:
-                case ClaimSeats():
-                    claims, record = self.records.claim(job)
-                    report = SeatsClaimed(claims=tuple(claims), record=record)
-                case ReadSeats(asked_at=asked_at):
-                    record, _ = self.records.read()
-                    report = SeatsRead(record=record, asked_at=asked_at)
-                case _:
-                    self.records.write(job)
-                    report = SeatsWritten(is_done=True, job=job)
-        except StoreUnavailable:
-            match job:
-                case ClaimSeats():
-                    report = SeatsClaimed(claims=(), record=None)
-                case ReadSeats(asked_at=asked_at):
-                    report = SeatsRead(record=None, asked_at=asked_at)
-                case _:
-                    report = SeatsWritten(is_done=False, job=job)
-        self.inbox.append(report)
+        self.inbox.append(run_job(self.records, self.jobs.popleft()))
 
     def _work(self) -> None:
         now = self._planes.clock.monotonic()
@@ -385,6 +361,8 @@
         self.store = MemoryStore()
         self.seeds = tuple(self.address(i) for i in range(seeds))
         self.cut_from_store: set[Address] = set()
+        # Receivers of messages to addresses without a control plane.
+        self.strangers: dict[Address, Callable[[Message], None]] = {}
         self.lifetimes: list[Lifetime] = []
         self.uses: dict[tuple[str, int], list[Use]] = collections.defaultdict(
             list
@@ -402,12 +380,12 @@
         self,
         number: int,
         *,
-        address: int | None = None,
+        peer: Address | None = None,
         kind: type[ControlPlane] = ControlPlane,
         zone: ZoneName = ZONE,
     ) -> Lifetime:
         """Start an instance; one at the same address has ended."""
-        peer = self.address(number if address is None else address)
+        peer = peer or self.address(number)
         for other in self.lifetimes:
             if other.peer == peer:
                 other.is_dead = True
@@ -445,6 +423,8 @@
         for to, data in self.exchange.take_due():
             if to in by_peer:
                 by_peer[to].inbox.append(decode_message(data))
+            elif to in self.strangers:
+                self.strangers[to](decode_message(data))
 
     def overlaps(self) -> list[str]:
         """Return uses of one slot by two lifetimes at the same time."""
