Add a drain state for zones; leave defaults out of ticket digests

Cause: a zone could be emptied only by draining each server, and look-ups still named its instances. The digest covered defaults, so that a field added later would give two versions different digests of the same ticket, a fork.

Change: a zone with state "drain" is left out of look-ups and of the targets of forwarded requests; its own instances treat its servers as leaving, so their requests go to other zones. It stays listed for the issuers of keys. A ticket that drains every zone is refused. Records are encoded without defaults.

Without the change the field is unknown (TICKET_MALFORMED).

--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from chiverun.core.ids import ServerName
 from chiverun.core.ids import ZoneName
 from chiverun.core.messages import Advert
 from chiverun.core.messages import DrainSign
@@ -18,6 +19,9 @@
 from chiverun.core.tables import DrainTable
 from chiverun.core.tables import Member
 from chiverun.core.tables import MemberTable
+from chiverun.core.ticket import Server
+from chiverun.core.ticket import Zone
+from chiverun.core.ticket import ZoneState
 
 if TYPE_CHECKING:
     from chiverun.core.ticketlog import Entry
@@ -139,6 +143,16 @@
     ]
 
 
+def drained_servers(state: State, zone: ZoneName) -> frozenset[ServerName]:
+    """Return the servers of a zone that a ticket drains as a whole."""
+    record = state.of(Zone).get(zone)
+    if record is None or record.state is ZoneState.ACTIVE:
+        return frozenset()
+    return frozenset(
+        s.name for s in state.of(Server).values() if s.zone == zone
+    )
+
+
 def merge_drain_signs(
     table: DrainTable, signs: tuple[DrainSign, ...], now: float
 ) -> None:
--- a/chiverun/core/lookup.py
+++ b/chiverun/core/lookup.py
@@ -135,8 +135,10 @@
 def _by_distance(snapshot: "Snapshot", zone: "ZoneName") -> list["ZoneView"]:
     known = snapshot.state.of(Zone).get(zone)
     region = known.region if known else None
+    views = snapshot.zones.values()
     return sorted(
-        snapshot.zones.values(),
+        # With all zones drained, any answer is better than none.
+        [v for v in views if not v.is_drained] or views,
         key=lambda v: (v.zone != zone, v.region != region, v.zone),
     )
 
--- a/chiverun/core/routing.py
+++ b/chiverun/core/routing.py
@@ -93,7 +93,7 @@
     rooms = [
         a
         for view in snapshot.zones.values()
-        if view.region == region
+        if view.region == region and not view.is_drained
         for a in view.instances
     ]
     if not rooms:
@@ -109,7 +109,7 @@
         Target(zone=view.zone, region=view.region, addresses=addresses)
         for view in snapshot.zones.values()
         for addresses in view.instances
-        if addresses.instance != me
+        if addresses.instance != me and not view.is_drained
     ]
 
 
--- a/chiverun/core/snapshot.py
+++ b/chiverun/core/snapshot.py
@@ -33,7 +33,8 @@
     """What is known of a zone.
 
     `room` is the number of free slots by service at `measured_at`
-    (monotonic seconds of this instance).
+    (monotonic seconds of this instance). A drained zone stays listed, since
+    the issuer of a key may be in it.
     """
 
     zone: ZoneName
@@ -41,6 +42,7 @@
     instances: tuple[EntryAddresses, ...]
     room: Mapping[ServiceName, int]
     measured_at: float
+    is_drained: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/core/ticket.py
+++ b/chiverun/core/ticket.py
@@ -42,8 +42,21 @@
     ENDED = "ended"
 
 
+class ZoneState(enum.Enum):
+    """Whether a zone takes callers and requests."""
+
+    ACTIVE = "active"
+    DRAIN = "drain"
+
+
+# Defaults are not encoded, so that a field that is added later changes the
+# digest of no ticket without it: instances of two versions stay in agreement.
 class _Record(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
 ):
     pass
 
@@ -56,11 +69,16 @@
 
 
 class Zone(_Record):
-    """An availability zone; `seats` is the number of shares it is cut in."""
+    """An availability zone; `seats` is the number of shares it is cut in.
+
+    A zone in state drain is left out of look-ups and runs no new requests;
+    its own instances forward theirs to other zones.
+    """
 
     name: ZoneName
     region: RegionName
     seats: int = 12
+    state: ZoneState = ZoneState.ACTIVE
 
 
 class Link(_Record):
--- a/chiverun/core/ticketcheck.py
+++ b/chiverun/core/ticketcheck.py
@@ -23,6 +23,7 @@
 from chiverun.core.ticket import Site
 from chiverun.core.ticket import Ticket
 from chiverun.core.ticket import Zone
+from chiverun.core.ticket import ZoneState
 
 _SERVICE_NAME = re.compile(r"[A-Za-z0-9._-]+")
 # A store value holds up to 1 MB; the rest is for the entry's other fields.
@@ -70,6 +71,7 @@
     yield from _duplicate_addresses(result)
     yield from _duplicate_blocks(result)
     yield from _competing_shifts(result)
+    yield from _all_drained(result)
 
 
 def _text(ticket: Ticket) -> Iterator[str]:
@@ -251,6 +253,12 @@
                 yield f"site {site.name}: block {block} is in site {other}"
 
 
+def _all_drained(result: State) -> Iterator[str]:
+    zones = result.of(Zone).values()
+    if zones and all(z.state is ZoneState.DRAIN for z in zones):
+        yield "state drain of every zone; valid: at least one zone active"
+
+
 def _competing_shifts(result: State) -> Iterator[str]:
     seen: dict[tuple[str, str], str] = {}
     for shift in result.of(Shift).values():
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -58,6 +58,7 @@
 from chiverun.core.tables import SeatTable
 from chiverun.core.tables import Transfer
 from chiverun.core.ticket import Zone
+from chiverun.core.ticket import ZoneState
 from chiverun.core.ticketlog import apply_entry
 from chiverun.core.ticketlog import ENTRIES_KEPT
 from chiverun.core.ticketlog import Entry
@@ -922,7 +923,8 @@
             leaving=self.is_leaving,
             leaving_servers=frozenset(
                 s for s, until in self.drains.until.items() if until > now
-            ),
+            )
+            | dissemination.drained_servers(self.state, self.identity.zone),
         )
 
     def _zone_views(self, now: float) -> dict[ZoneName, ZoneView]:
@@ -971,6 +973,7 @@
             instances=tuple(sorted(instances, key=lambda a: a.instance)),
             room=dict(room),
             measured_at=oldest,
+            is_drained=zone.state is ZoneState.DRAIN,
         )
 
     def _own_addresses(self) -> EntryAddresses:
--- a/tests/proofs/test_tickets.py
+++ b/tests/proofs/test_tickets.py
@@ -174,11 +174,15 @@
         store = self.clock._log._store
         item = store.get("chiverun/head")
         store.put("chiverun/head", b"\xff\x00", cas=item.index)
-        self.wait(
-            lambda: any(self.status(n).get("store_fault") for n in self.names)
-        )
-        damaged = store.get("chiverun/head")
-        store.put("chiverun/head", item.value, cas=damaged.index)
+        try:
+            self.wait(
+                lambda: any(
+                    self.status(n).get("store_fault") for n in self.names
+                )
+            )
+        finally:
+            damaged = store.get("chiverun/head")
+            store.put("chiverun/head", item.value, cas=damaged.index)
         self.wait(
             lambda: not any(self.status(n)["store_fault"] for n in self.names)
         )
