Bound the kept tickets by size and repeat pulls only after 0.5 s

Cause: 256 tickets of up to 900 KB exceed an instance's 32 MB; each announce and ping caused one more pull while the answer to the first was under way.

Change: kept tickets take at most 8 MB; a number that was pulled is pulled again after 0.5 s only.

--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -4,6 +4,7 @@
 that any exchange shows who is behind; announcements only make it faster.
 """
 
+import collections
 import random
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,7 @@
 from chiverun.core.ticket import Server
 from chiverun.core.ticket import Zone
 from chiverun.core.ticket import ZoneState
+from chiverun.core.ticketlog import ENTRIES_KEPT
 
 if TYPE_CHECKING:
     from chiverun.core.ticketlog import Entry
@@ -31,6 +33,11 @@
 ADVERT_MAX_AGE_S = 10.0
 ANNOUNCE_IN_ZONE = 3
 ANNOUNCE_REMOTE = 1
+# Two hundred-odd tickets of the largest size would exceed the 32 MB that the
+# control plane of an instance may use.
+RECENT_BYTES_MAX = 8 * 1024 * 1024
+# A pull that was not answered is repeated after this time.
+PULL_RETRY_S = 0.5
 BATCH_BYTES = 256 * 1024
 BATCHES_MAX = 64
 CHUNKS_MAX = 4096
@@ -85,6 +92,35 @@
     return targets
 
 
+class RecentTickets:
+    """The last tickets in force, bounded by number and encoded size."""
+
+    def __init__(self) -> None:
+        self._entries: collections.deque[tuple[Entry, int]] = (
+            collections.deque()
+        )
+        self._bytes = 0
+
+    def append(self, entry: "Entry") -> None:
+        """Add the newest ticket; the oldest ones are dropped."""
+        size = len(msgspec.msgpack.encode(entry))
+        self._entries.append((entry, size))
+        self._bytes += size
+        while len(self._entries) > 1 and (
+            len(self._entries) > ENTRIES_KEPT or self._bytes > RECENT_BYTES_MAX
+        ):
+            self._bytes -= self._entries.popleft()[1]
+
+    def clear(self) -> None:
+        """Drop all: they do not lead to a state that was taken over."""
+        self._entries.clear()
+        self._bytes = 0
+
+    def entries(self) -> list["Entry"]:
+        """Return the tickets, oldest first; safe from other threads."""
+        return [entry for entry, _ in self._entries.copy()]
+
+
 def entries_after(
     recent: list["Entry"], number: int
 ) -> list[tuple["Entry", ...]] | None:
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -60,7 +60,6 @@
 from chiverun.core.ticket import Zone
 from chiverun.core.ticket import ZoneState
 from chiverun.core.ticketlog import apply_entry
-from chiverun.core.ticketlog import ENTRIES_KEPT
 from chiverun.core.ticketlog import Entry
 
 if TYPE_CHECKING:
@@ -230,9 +229,9 @@
         self._send = send
         self._submit = submit
         self.state = empty_state()
-        self.recent: collections.deque[Entry] = collections.deque(
-            maxlen=ENTRIES_KEPT
-        )
+        self.recent = dissemination.RecentTickets()
+        self._pulled_number = 0
+        self._pulled_at = float("-inf")
         self.members = MemberTable()
         self.seats = SeatTable()
         self.drains = DrainTable()
@@ -797,16 +796,23 @@
     # Tickets.
 
     def _pull_if_behind(self, sender: Address, number: int) -> None:
-        if number > self.state.number:
-            self._send(
-                sender,
-                Pull(sender=self.identity.peer, number=self.state.number),
-            )
+        if number <= self.state.number:
+            return
+        now = self._clock.monotonic()
+        is_asked = number <= self._pulled_number
+        if is_asked and now - self._pulled_at < dissemination.PULL_RETRY_S:
+            return
+        self._pulled_number = number
+        self._pulled_at = now
+        self._send(
+            sender,
+            Pull(sender=self.identity.peer, number=self.state.number),
+        )
 
     def _on_pull(self, sender: Address, number: int) -> None:
         if number >= self.state.number:
             return
-        batches = dissemination.entries_after(list(self.recent), number)
+        batches = dissemination.entries_after(self.recent.entries(), number)
         if batches is not None:
             for batch in batches:
                 self._send(sender, Tickets(entries=batch))
--- a/tests/runtime/test_ticketspread.py
+++ b/tests/runtime/test_ticketspread.py
@@ -13,6 +13,7 @@
 
 from chiverun.core.admission import Admission
 from chiverun.core.clock import ManualClock
+from chiverun.core.dissemination import RecentTickets
 from chiverun.core.dissemination import state_chunks
 from chiverun.core.messages import decode_message
 from chiverun.core.messages import encode_message
@@ -20,6 +21,7 @@
 from chiverun.core.ticket import Site
 from chiverun.core.ticket import Ticket
 from chiverun.core.ticket import Zone
+from chiverun.core.ticketlog import Entry
 from chiverun.core.ticketlog import TicketLog
 from chiverun.integrations.peers import _MESSAGE_BYTES_MAX
 from chiverun.runtime.control import ControlPlane
@@ -290,6 +292,24 @@
         self.assertEqual([], net.forks())
 
 
+class RecentTicketsTest(unittest.TestCase):
+    @params((10, 0, 10), (300, 0, 256), (40, 800_000, 10))
+    def test_bounded_by_number_and_size(self, count, size, kept):
+        """Guards against memory that grows with the size of tickets."""
+        recent = RecentTickets()
+        for number in range(1, count + 1):
+            recent.append(
+                Entry(
+                    number=number,
+                    digest="",
+                    submission="s",
+                    ticket=ticket(number, "a", size),
+                )
+            )
+        numbers = [e.number for e in recent.entries()]
+        self.assertEqual(list(range(count - kept + 1, count + 1)), numbers)
+
+
 class HeadWatchTest(unittest.TestCase):
     @params(b"", b"\xff" * 9, b"\x93\x01\x02\x03")
     def test_damaged_values(self, data):
