--- a/chiverun/core/ticketcheck.py
+++ b/chiverun/core/ticketcheck.py
@@ -67,6 +67,7 @@
             for problem in check(result, record):
                 yield f"{kind} {name}: {problem}"
     yield from _seat_changes(state, result)
+    yield from _moved_servers(state, result)
     yield from _duplicate_links(result)
     yield from _duplicate_addresses(result)
     yield from _duplicate_blocks(result)
@@ -224,6 +225,19 @@
             )
 
 
+def _moved_servers(state: State, result: State) -> Iterator[str]:
+    """Seats of the old and the new zone must not use a server at once."""
+    for name, server in state.of(Server).items():
+        after = result.of(Server).get(name)
+        if server.state is ServerState.DRAIN or after is None:
+            continue
+        if after.zone != server.zone:
+            yield (
+                f"server {name}: zone is {after.zone!r}; valid: "
+                f"{server.zone!r} unless an earlier ticket drained the server"
+            )
+
+
 def _duplicate_links(result: State) -> Iterator[str]:
     seen: dict[tuple[str, str], str] = {}
     for link in result.of(Link).values():
--- a/tests/proofs/test_tickets.py
+++ b/tests/proofs/test_tickets.py
@@ -22,6 +22,8 @@
     '[[region]]\nname = "r"\nin_flight_max = {}\n'
 )
 _IN_FORCE_LIMIT_S = 3.0
+# 256 tickets behind the base, 64 after it, head, base and seat records.
+_KEYS_MAX = 340
 _LIMIT_S = 60.0
 
 
@@ -104,6 +106,14 @@
         self.clock.in_force_at(self.names)
         self.assertLess(time.monotonic() - since, _LIMIT_S)
 
+    def test_two_hundred_tickets(self):
+        """Guards against store keys that grow with the tickets."""
+        for _ in range(200):
+            since = self.clock.submit()
+        self.assert_in_force(since)
+        keys = self.clock._log._store.keys("chiverun/")
+        self.assertLessEqual(len(keys), _KEYS_MAX)
+
     def test_frozen_watchers(self):
         """Guards against a ticket that waits for a frozen watcher."""
         frozen = [n for n in self.names if n.endswith("-1")][:3]
