--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -5,11 +5,13 @@
 """
 
 import collections
+import dataclasses
 import random
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from chiverun.core.ids import Address
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ZoneName
 from chiverun.core.messages import Advert
@@ -38,6 +40,9 @@
 RECENT_BYTES_MAX = 8 * 1024 * 1024
 # A pull that was not answered is repeated after this time.
 PULL_RETRY_S = 0.5
+FUTILE_PULLS = 6
+FUTILE_PAUSE_S = 10.0
+_OFFERS_MAX = 1024
 BATCH_BYTES = 256 * 1024
 BATCHES_MAX = 64
 CHUNKS_MAX = 4096
@@ -121,6 +126,57 @@
         return [entry for entry, _ in self._entries.copy()]
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Offer:
+    """What a peer offered and how often it was pulled in vain."""
+
+    number: int
+    pulls: int = 0
+    pulled_at: float = float("-inf")
+
+
+class PullSchedule:
+    """Decides when tickets are pulled from a peer that offers them.
+
+    A number is pulled again after `PULL_RETRY_S`. A peer whose tickets were
+    not applied `FUTILE_PULLS` times is on another history, as a rule, and
+    would send its whole state with each pull: it is asked every
+    `FUTILE_PAUSE_S`.
+    """
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._pulled_at = float("-inf")
+        self._offers: dict[Address, _Offer] = {}
+
+    def allows(
+        self, *, sender: Address, offered: int, own: int, now: float
+    ) -> bool:
+        """Tell whether to pull now, and note it."""
+        if offered <= own:
+            return False
+        # Compared for equality: a later number of another history must not
+        # hold up the pulls of the own one.
+        is_asked = offered == self._number
+        if is_asked and now - self._pulled_at < PULL_RETRY_S:
+            return False
+        offer = self._offers.get(sender)
+        if offer is None or own >= offer.number:
+            offer = _Offer(number=offered)
+        if offer.pulls >= FUTILE_PULLS and (
+            now - offer.pulled_at < FUTILE_PAUSE_S
+        ):
+            return False
+        offer.pulls += 1
+        offer.pulled_at = now
+        if len(self._offers) >= _OFFERS_MAX:
+            self._offers.clear()
+        self._offers[sender] = offer
+        self._number = offered
+        self._pulled_at = now
+        return True
+
+
 def entries_after(
     recent: list["Entry"], number: int
 ) -> list[tuple["Entry", ...]] | None:
--- a/chiverun/runtime/control.py
+++ b/chiverun/runtime/control.py
@@ -230,8 +230,7 @@
         self._submit = submit
         self.state = empty_state()
         self.recent = dissemination.RecentTickets()
-        self._pulled_number = 0
-        self._pulled_at = float("-inf")
+        self._pulls = dissemination.PullSchedule()
         self.members = MemberTable()
         self.seats = SeatTable()
         self.drains = DrainTable()
@@ -796,18 +795,10 @@
     # Tickets.
 
     def _pull_if_behind(self, sender: Address, number: int) -> None:
-        if number <= self.state.number:
-            return
+        own = self.state.number
         now = self._clock.monotonic()
-        is_asked = number <= self._pulled_number
-        if is_asked and now - self._pulled_at < dissemination.PULL_RETRY_S:
-            return
-        self._pulled_number = number
-        self._pulled_at = now
-        self._send(
-            sender,
-            Pull(sender=self.identity.peer, number=self.state.number),
-        )
+        if self._pulls.allows(sender=sender, offered=number, own=own, now=now):
+            self._send(sender, Pull(sender=self.identity.peer, number=own))
 
     def _on_pull(self, sender: Address, number: int) -> None:
         if number >= self.state.number:
--- a/tests/runtime/test_ticketspread.py
+++ b/tests/runtime/test_ticketspread.py
@@ -13,6 +13,7 @@
 
 from chiverun.core.admission import Admission
 from chiverun.core.clock import ManualClock
+from chiverun.core.dissemination import PullSchedule
 from chiverun.core.dissemination import RecentTickets
 from chiverun.core.dissemination import state_chunks
 from chiverun.core.messages import decode_message
@@ -310,6 +311,33 @@
         self.assertEqual(list(range(count - kept + 1, count + 1)), numbers)
 
 
+class PullScheduleTest(unittest.TestCase):
+    def test_peer_of_another_history(self):
+        """Guards against whole states that are sent and refused for ever.
+
+        A peer on a longer history offers it five times a second, while
+        another one goes on with the own history.
+        """
+        pulls = PullSchedule()
+        own, forked, late = 10, 0, 0
+        for step in range(1000):
+            now = step / 5
+            forked += pulls.allows(
+                sender="forked", offered=500, own=own, now=now
+            )
+            if step % 10 == 0:
+                offered_at, is_behind = now, True
+            if is_behind and pulls.allows(
+                sender="healthy", offered=own + 1, own=own, now=now
+            ):
+                own += 1
+                is_behind = False
+                late = max(late, now - offered_at)
+        self.assertEqual(110, own)
+        self.assertLessEqual(forked, 6 + 200 / 10)
+        self.assertLessEqual(late, 1.5)
+
+
 class HeadWatchTest(unittest.TestCase):
     @params(b"", b"\xff" * 9, b"\x93\x01\x02\x03")
     def test_damaged_values(self, data):
