--- a/chiverun/core/blocks.py
+++ b/chiverun/core/blocks.py
@@ -51,6 +51,8 @@
         parts = []
         for text in texts:
             network = ipaddress.IPv4Network(text)
+            if str(network) != text:
+                raise ValueError(f"block {text!r}; valid: {str(network)!r}")
             first = int(network.network_address)
             parts.append(_PACKED.pack(first, network.prefixlen))
         return cls(b"".join(parts))
--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -4,11 +4,15 @@
 that any exchange shows who is behind; announcements only make it faster.
 """
 
+import collections
+import dataclasses
 import random
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from chiverun.core.ids import Address
+from chiverun.core.ids import ServerName
 from chiverun.core.ids import ZoneName
 from chiverun.core.messages import Advert
 from chiverun.core.messages import DrainSign
@@ -18,7 +22,11 @@
 from chiverun.core.tables import DrainTable
 from chiverun.core.tables import Member
 from chiverun.core.tables import MemberTable
+from chiverun.core.ticket import Server
+from chiverun.core.ticket import Zone
+from chiverun.core.ticket import ZoneState
 from chiverun.core.ticketlog import encode_entry
+from chiverun.core.ticketlog import ENTRIES_KEPT
 
 if TYPE_CHECKING:
     from chiverun.core.ticketlog import Entry
@@ -28,6 +36,14 @@
 ADVERT_MAX_AGE_S = 10.0
 ANNOUNCE_IN_ZONE = 3
 ANNOUNCE_REMOTE = 1
+# Two hundred-odd tickets of the largest size would exceed the 32 MB that the
+# control plane of an instance may use.
+RECENT_BYTES_MAX = 8 * 1024 * 1024
+# A pull that was not answered is repeated after this time.
+PULL_RETRY_S = 0.5
+FUTILE_PULLS = 6
+FUTILE_PAUSE_S = 10.0
+_OFFERS_MAX = 1024
 BATCH_BYTES = 256 * 1024
 BATCHES_MAX = 64
 CONTACTS_PER_ZONE = 3
@@ -96,6 +112,86 @@
     return targets
 
 
+class RecentTickets:
+    """The last tickets in force, bounded by number and encoded size."""
+
+    def __init__(self) -> None:
+        self._entries: collections.deque[tuple[Entry, int]] = (
+            collections.deque()
+        )
+        self._bytes = 0
+
+    def append(self, entry: "Entry") -> None:
+        """Add the newest ticket; the oldest ones are dropped."""
+        size = len(encode_entry(entry))
+        self._entries.append((entry, size))
+        self._bytes += size
+        while len(self._entries) > 1 and (
+            len(self._entries) > ENTRIES_KEPT or self._bytes > RECENT_BYTES_MAX
+        ):
+            self._bytes -= self._entries.popleft()[1]
+
+    def clear(self) -> None:
+        """Drop all: they do not lead to a state that was taken over."""
+        self._entries.clear()
+        self._bytes = 0
+
+    def entries(self) -> list["Entry"]:
+        """Return the tickets, oldest first; safe from other threads."""
+        return [entry for entry, _ in self._entries.copy()]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Offer:
+    """What a peer offered and how often it was pulled in vain."""
+
+    number: int
+    pulls: int = 0
+    pulled_at: float = float("-inf")
+
+
+class PullSchedule:
+    """Decides when tickets are pulled from a peer that offers them.
+
+    A number is pulled again after `PULL_RETRY_S`. A peer whose tickets were
+    not applied `FUTILE_PULLS` times is on another history, as a rule, and
+    would send its whole state with each pull: it is asked every
+    `FUTILE_PAUSE_S`.
+    """
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._pulled_at = float("-inf")
+        self._offers: dict[Address, _Offer] = {}
+
+    def allows(
+        self, *, sender: Address, offered: int, own: int, now: float
+    ) -> bool:
+        """Tell whether to pull now, and note it."""
+        if offered <= own:
+            return False
+        # Compared for equality: a later number of another history must not
+        # hold up the pulls of the own one.
+        is_asked = offered == self._number
+        if is_asked and now - self._pulled_at < PULL_RETRY_S:
+            return False
+        offer = self._offers.get(sender)
+        if offer is None or own >= offer.number:
+            offer = _Offer(number=offered)
+        if offer.pulls >= FUTILE_PULLS and (
+            now - offer.pulled_at < FUTILE_PAUSE_S
+        ):
+            return False
+        offer.pulls += 1
+        offer.pulled_at = now
+        if len(self._offers) >= _OFFERS_MAX:
+            self._offers.clear()
+        self._offers[sender] = offer
+        self._number = offered
+        self._pulled_at = now
+        return True
+
+
 def entries_after(
     recent: list["Entry"], number: int
 ) -> list[tuple["Entry", ...]] | None:
@@ -154,6 +250,16 @@
     ]
 
 
+def drained_servers(state: State, zone: ZoneName) -> frozenset[ServerName]:
+    """Return the servers of a zone that a ticket drains as a whole."""
+    record = state.of(Zone).get(zone)
+    if record is None or record.state is ZoneState.ACTIVE:
+        return frozenset()
+    return frozenset(
+        s.name for s in state.of(Server).values() if s.zone == zone
+    )
+
+
 def merge_drain_signs(
     table: DrainTable, signs: tuple[DrainSign, ...], now: float
 ) -> None:
--- a/chiverun/core/ticketcheck.py
+++ b/chiverun/core/ticketcheck.py
@@ -24,6 +24,7 @@
 from chiverun.core.ticket import Site
 from chiverun.core.ticket import Ticket
 from chiverun.core.ticket import Zone
+from chiverun.core.ticket import ZoneState
 
 _SERVICE_NAME = re.compile(r"[A-Za-z0-9._-]+")
 # A store value holds up to 1 MB; the rest is for the entry's other fields.
@@ -67,11 +68,13 @@
             for problem in check(result, record):
                 yield f"{kind} {name}: {problem}"
     yield from _seat_changes(state, result)
+    yield from _moved_servers(state, result)
     yield from _duplicate_links(result)
     yield from _duplicate_addresses(result)
-    yield from _duplicate_blocks(result)
+    yield from _duplicate_blocks(ticket, result)
     yield from _site_count(result)
     yield from _competing_shifts(result)
+    yield from _all_drained(result)
 
 
 def _text(ticket: Ticket) -> Iterator[str]:
@@ -219,6 +222,19 @@
             )
 
 
+def _moved_servers(state: State, result: State) -> Iterator[str]:
+    """Seats of the old and the new zone must not use a server at once."""
+    for name, server in state.of(Server).items():
+        after = result.of(Server).get(name)
+        if server.state is ServerState.DRAIN or after is None:
+            continue
+        if after.zone != server.zone:
+            yield (
+                f"server {name}: zone is {after.zone!r}; valid: "
+                f"{server.zone!r} unless an earlier ticket drained the server"
+            )
+
+
 def _duplicate_links(result: State) -> Iterator[str]:
     seen: dict[tuple[str, str], str] = {}
     for link in result.of(Link).values():
@@ -238,14 +254,39 @@
             )
 
 
-def _duplicate_blocks(result: State) -> Iterator[str]:
-    seen: dict[tuple[int, int], str] = {}
-    for site in result.of(Site).values():
-        for first, length in site.blocks.pairs():
-            other = seen.setdefault((first, length), site.name)
+def _duplicate_blocks(ticket: Ticket, result: State) -> Iterator[str]:
+    """Compare the ticket's blocks with each other and with all others."""
+    touched: dict[tuple[int, int], str] = {}
+    for site in ticket.site:
+        for block in site.blocks.pairs():
+            other = touched.setdefault(block, site.name)
             if other != site.name:
-                block = f"{ipaddress.IPv4Address(first)}/{length}"
-                yield f"site {site.name}: block {block} is in site {other}"
+                yield (
+                    f"site {site.name}: block {_text_of(block)} is in site "
+                    f"{other}"
+                )
+    if not touched:
+        return
+    changed = {site.name for site in ticket.site}
+    for site in result.of(Site).values():
+        if site.name in changed:
+            continue
+        for block in site.blocks.pairs():
+            if block in touched:
+                yield (
+                    f"site {touched[block]}: block {_text_of(block)} is in "
+                    f"site {site.name}"
+                )
+
+
+def _text_of(block: tuple[int, int]) -> str:
+    return f"{ipaddress.IPv4Address(block[0])}/{block[1]}"
+
+
+def _all_drained(result: State) -> Iterator[str]:
+    zones = result.of(Zone).values()
+    if zones and all(z.state is ZoneState.DRAIN for z in zones):
+        yield "state drain of every zone; valid: at least one zone active"
 
 
 def _site_count(result: State) -> Iterator[str]:
--- a/chiverun/runtime/context.py
+++ b/chiverun/runtime/context.py
@@ -1,11 +1,11 @@
 """What the systems of the control plane run over."""
 
-import collections
 import dataclasses
 import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from chiverun.core import dissemination
 from chiverun.core.ids import Address
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import LifeId
@@ -16,8 +16,6 @@
 from chiverun.core.tables import DrainTable
 from chiverun.core.tables import MemberTable
 from chiverun.core.tables import SeatTable
-from chiverun.core.ticketlog import ENTRIES_KEPT
-from chiverun.core.ticketlog import Entry
 from chiverun.runtime.events import StoreJob
 
 if TYPE_CHECKING:
@@ -76,9 +74,8 @@
         self.send = send
         self.submit = submit
         self.state = empty_state()
-        self.recent: collections.deque[Entry] = collections.deque(
-            maxlen=ENTRIES_KEPT
-        )
+        self.recent = dissemination.RecentTickets()
+        self.pulls = dissemination.PullSchedule()
         self.members = MemberTable()
         self.seats = SeatTable()
         self.drains = DrainTable()
--- a/chiverun/runtime/execution.py
+++ b/chiverun/runtime/execution.py
@@ -96,10 +96,6 @@
         self._backends = backends
         self._telemetry = telemetry
 
-    def expected_wait_s(self, work: "Work") -> float:
-        """Return how long a request would wait here for a slot."""
-        return self._admission.expected_wait_s(work)
-
     def run(
         self,
         work: "Work",
--- a/chiverun/runtime/publishing.py
+++ b/chiverun/runtime/publishing.py
@@ -4,6 +4,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from chiverun.core import dissemination
 from chiverun.core.ids import ZoneName
 from chiverun.core.snapshot import EntryAddresses
 from chiverun.core.snapshot import HeldSeat
@@ -11,6 +12,7 @@
 from chiverun.core.snapshot import ZoneView
 from chiverun.core.tables import Member
 from chiverun.core.ticket import Zone
+from chiverun.core.ticket import ZoneState
 
 if TYPE_CHECKING:
     from chiverun.runtime.context import ControlContext
@@ -48,7 +50,8 @@
         leaving=ctx.is_leaving,
         leaving_servers=frozenset(
             s for s, until in ctx.drains.until.items() if until > now
-        ),
+        )
+        | dissemination.drained_servers(ctx.state, ctx.identity.zone),
     )
 
 
@@ -116,6 +119,7 @@
         instances=tuple(sorted(instances, key=lambda a: a.instance)),
         room=dict(room),
         measured_at=oldest,
+        is_drained=zone.state is ZoneState.DRAIN,
     )
 
 
--- a/chiverun/runtime/ticketspread.py
+++ b/chiverun/runtime/ticketspread.py
@@ -37,18 +37,17 @@
     ctx: "ControlContext", sender: Address, number: int
 ) -> None:
     """Ask a peer for tickets if it has newer ones."""
-    if number > ctx.state.number:
-        ctx.send(
-            sender,
-            Pull(sender=ctx.identity.peer, number=ctx.state.number),
-        )
+    own = ctx.state.number
+    now = ctx.clock.monotonic()
+    if ctx.pulls.allows(sender=sender, offered=number, own=own, now=now):
+        ctx.send(sender, Pull(sender=ctx.identity.peer, number=own))
 
 
 def on_pull(ctx: "ControlContext", sender: Address, number: int) -> None:
     """Send the tickets or the state that a peer asks for."""
     if number >= ctx.state.number:
         return
-    batches = dissemination.entries_after(list(ctx.recent), number)
+    batches = dissemination.entries_after(ctx.recent.entries(), number)
     if batches is not None:
         for batch in batches:
             ctx.send(sender, Tickets(entries=batch))
--- a/tests/runtime/test_ticketspread.py
+++ b/tests/runtime/test_ticketspread.py
@@ -14,6 +14,8 @@
 from chiverun.core.admission import Admission
 from chiverun.core.blocks import Blocks
 from chiverun.core.clock import ManualClock
+from chiverun.core.dissemination import PullSchedule
+from chiverun.core.dissemination import RecentTickets
 from chiverun.core.dissemination import state_chunks
 from chiverun.core.messages import decode_message
 from chiverun.core.messages import encode_message
@@ -21,6 +23,7 @@
 from chiverun.core.ticket import Site
 from chiverun.core.ticket import Ticket
 from chiverun.core.ticket import Zone
+from chiverun.core.ticketlog import Entry
 from chiverun.core.ticketlog import TicketLog
 from chiverun.integrations.peers import _MESSAGE_BYTES_MAX
 from chiverun.runtime.control import ControlPlane
@@ -295,6 +298,51 @@
         self.assertEqual([], net.forks())
 
 
+class RecentTicketsTest(unittest.TestCase):
+    @params((10, 0, 10), (300, 0, 256), (40, 800_000, 10))
+    def test_bounded_by_number_and_size(self, count, size, kept):
+        """Guards against memory that grows with the size of tickets."""
+        recent = RecentTickets()
+        for number in range(1, count + 1):
+            recent.append(
+                Entry(
+                    number=number,
+                    digest="",
+                    submission="s",
+                    ticket=ticket(number, "a", size),
+                )
+            )
+        numbers = [e.number for e in recent.entries()]
+        self.assertEqual(list(range(count - kept + 1, count + 1)), numbers)
+
+
+class PullScheduleTest(unittest.TestCase):
+    def test_peer_of_another_history(self):
+        """Guards against whole states that are sent and refused for ever.
+
+        A peer on a longer history offers it five times a second, while
+        another one goes on with the own history.
+        """
+        pulls = PullSchedule()
+        own, forked, late = 10, 0, 0
+        for step in range(1000):
+            now = step / 5
+            forked += pulls.allows(
+                sender="forked", offered=500, own=own, now=now
+            )
+            if step % 10 == 0:
+                offered_at, is_behind = now, True
+            if is_behind and pulls.allows(
+                sender="healthy", offered=own + 1, own=own, now=now
+            ):
+                own += 1
+                is_behind = False
+                late = max(late, now - offered_at)
+        self.assertEqual(110, own)
+        self.assertLessEqual(forked, 6 + 200 / 10)
+        self.assertLessEqual(late, 1.5)
+
+
 class HeadWatchTest(unittest.TestCase):
     @params(b"", b"\xff" * 9, b"\x93\x01\x02\x03")
     def test_damaged_values(self, data):
