Read the instance list with one call for all services

Change: one call of the published health interface gives all leaving instances. Conclusion: the calls no longer grow with the number of services.

--- a/chiverun/integrations/instances.py
+++ b/chiverun/integrations/instances.py
@@ -5,24 +5,17 @@
 from urllib3.exceptions import HTTPError
 
 from chiverun.core.ids import Address
-from chiverun.integrations.interfaces import ListedInstance
+from chiverun.core.ids import ServerName
 from chiverun.integrations.interfaces import StoreUnavailable
 from chiverun.integrations.network import split_address
 
+# One call for all services: at 72 zones a call for each service and watcher
+# would use up the platform's reads with 30 services.
+_PATH = "/v1/health/state/critical"
 
-class _Service(msgspec.Struct, rename="pascal"):
-    id: str = msgspec.field(name="ID")
-    address: str
-    port: int
 
-
-class _Check(msgspec.Struct, rename="pascal"):
-    status: str
-
-
-class _Entry(msgspec.Struct, rename="pascal"):
-    service: _Service
-    checks: list[_Check] = []
+class _Check(msgspec.Struct):
+    service_id: str = msgspec.field(name="ServiceID")
 
 
 class HttpInstanceList:
@@ -34,30 +27,19 @@
             host, port, maxsize=1, retries=False, timeout=timeout_s
         )
 
-    def fetch(self, service: str) -> list[ListedInstance]:
-        """Return the listed instances of a service.
+    def leaving(self) -> frozenset[ServerName]:
+        """Return the listed instances that are leaving.
 
         Raises
         ------
         StoreUnavailable
             The list could not be read.
         """
-        url = f"/v1/health/service/{service}"
         try:
-            resp = self._pool.urlopen("GET", url, retries=False)
-            if resp.status != 200:
-                raise StoreUnavailable(f"instance list: status {resp.status}")
-            entries = msgspec.json.decode(resp.data, type=list[_Entry])
-        except (HTTPError, msgspec.DecodeError, ValueError) as exc:
+            resp = self._pool.urlopen("GET", _PATH, retries=False)
+            checks = msgspec.json.decode(resp.data, type=list[_Check])
+        except (HTTPError, msgspec.DecodeError) as exc:
             raise StoreUnavailable(f"instance list: {exc}") from exc
-        return [
-            ListedInstance(
-                service=service,
-                name=entry.service.id,
-                address=Address(
-                    f"{entry.service.address}:{entry.service.port}"
-                ),
-                leaving=any(c.status != "passing" for c in entry.checks),
-            )
-            for entry in entries
-        ]
+        if resp.status != 200:
+            raise StoreUnavailable(f"instance list: status {resp.status}")
+        return frozenset(ServerName(c.service_id) for c in checks)
--- a/chiverun/integrations/interfaces.py
+++ b/chiverun/integrations/interfaces.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from chiverun.core.ids import Address
+from chiverun.core.ids import ServerName
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,20 +47,15 @@
     def keys(self, prefix: str) -> list[str]: ...
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ListedInstance:
-    """An entry of the platform's instance list."""
-
-    service: str
-    name: str
-    address: Address
-    leaving: bool
-
-
 class InstanceList(Protocol):
     """The platform's lagging list of live and leaving instances."""
 
-    def fetch(self, service: str) -> list[ListedInstance]: ...
+    def leaving(self) -> frozenset[ServerName]:
+        """Return the listed instances that are leaving, in one call.
+
+        Raises `StoreUnavailable` when the list could not be read.
+        """
+        ...
 
 
 class PeerTransport(Protocol):
--- a/chiverun/runtime/healthcheck.py
+++ b/chiverun/runtime/healthcheck.py
@@ -13,7 +13,6 @@
 from chiverun.core.exchange import ShedReason
 from chiverun.core.ids import ServerName
 from chiverun.core.ticket import Server
-from chiverun.core.ticket import Service
 from chiverun.integrations.backend import Outgoing
 from chiverun.integrations.interfaces import StoreUnavailable
 from chiverun.runtime.control import ServersLeaving
@@ -57,7 +56,7 @@
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._checking: set[ServerName] = set()
-        self._listed: dict[str, frozenset[ServerName]] = {}
+        self._listed: frozenset[ServerName] = frozenset()
         self._threads = [
             threading.Thread(
                 target=self._repeat, args=args, daemon=True, name="health"
@@ -119,17 +118,11 @@
         """
         if self._instances is None or not self._plane.is_watcher():
             return
-        known = {s.name for s in self._servers()}
-        for service in self._plane.snapshot.state.of(Service):
-            with contextlib.suppress(StoreUnavailable):
-                self._listed[service] = frozenset(
-                    ServerName(i.name)
-                    for i in self._instances.fetch(service)
-                    if i.leaving
-                )
-            names = self._listed.get(service, frozenset()) & known
-            if names:
-                self._report(ServersLeaving(servers=names))
+        with contextlib.suppress(StoreUnavailable):
+            self._listed = self._instances.leaving()
+        names = self._listed & {s.name for s in self._servers()}
+        if names:
+            self._report(ServersLeaving(servers=names))
 
     def _servers(self) -> list[Server]:
         zone = self._plane.identity.zone
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -101,26 +101,15 @@
                 self.services[service] = instances
             self.changed.notify_all()
 
-    def listed(self, service: str) -> list[dict]:
-        """Return the instance list of a service, as it was `lag_s` ago."""
+    def critical(self) -> list[dict[str, str]]:
+        """Return the checks of leaving instances, as `lag_s` ago."""
         now = time.monotonic()
-        entries = []
-        for name, address in self.services.get(service, {}).items():
-            host, _, port = address.rpartition(":")
-            is_leaving = self.leaving.get(name, now + 1) <= now
-            entries.append(
-                {
-                    "Service": {
-                        "ID": name,
-                        "Address": host,
-                        "Port": int(port),
-                    },
-                    "Checks": [
-                        {"Status": "critical" if is_leaving else "passing"}
-                    ],
-                }
-            )
-        return entries
+        return [
+            {"ServiceID": name, "ServiceName": service, "Status": "critical"}
+            for service, instances in self.services.items()
+            for name in instances
+            if self.leaving.get(name, now + 1) <= now
+        ]
 
 
 def make_handler(platform: Platform) -> type[Handler]:
@@ -150,9 +139,8 @@
             if begun is None:
                 return
             path, query = begun
-            if path.startswith("/v1/health/service/"):
-                name = path.removeprefix("/v1/health/service/")
-                self.reply_json(platform.listed(name))
+            if path == "/v1/health/state/critical":
+                self.reply_json(platform.critical())
                 return
             key = path.removeprefix("/v1/kv/")
             if "keys" in query:
--- a/tests/runtime/test_healthcheck.py
+++ b/tests/runtime/test_healthcheck.py
@@ -12,7 +12,6 @@
 from chiverun.core.exchange import ShedReason
 from chiverun.core.ids import ZoneName
 from chiverun.core.ticket import Server
-from chiverun.integrations.interfaces import ListedInstance
 from chiverun.integrations.interfaces import StoreUnavailable
 from chiverun.runtime.healthcheck import HealthCheck
 from chiverun.runtime.healthcheck import is_draining
@@ -73,18 +72,10 @@
     def __init__(self, names: dict[str, bool] | None) -> None:
         self.names = names
 
-    def fetch(self, service: str) -> list[ListedInstance]:
+    def leaving(self) -> frozenset[str]:
         if self.names is None:
             raise StoreUnavailable("down")
-        return [
-            ListedInstance(
-                service=service,
-                name=name,
-                address="127.0.0.1:1",
-                leaving=leaving,
-            )
-            for name, leaving in self.names.items()
-        ]
+        return frozenset(n for n, leaving in self.names.items() if leaving)
 
 
 def _health(plane, backends=None, instances=None, report=print):
