Keep each site's wide blocks apart

Cause: restating one site went over the blocks of all sites to find wide ones. Change: wide blocks are kept by site; the stand-in platform counts calls by kind of key.

--- a/chiverun/core/blocks.py
+++ b/chiverun/core/blocks.py
@@ -96,6 +96,7 @@
         self._free: list[int] = []
         self._buckets: list[bytes] = [b""] * _BUCKET_SIZE
         self._ranges: dict[int, tuple[array.array, array.array]] = {}
+        self._wide_of: dict[str, list[tuple[int, int, int]]] = {}
         self._wide: list[tuple[int, int, int]] = []
 
     def find(self, address: int) -> "ZoneName | None":
@@ -126,7 +127,12 @@
         ]
         for start in range(0, len(changed), _BATCH_SITES):
             self._change(changed[start : start + _BATCH_SITES], sites)
-        self._rebuild_wide(sites)
+        for name in changed:
+            self._note_wide(name, sites.get(name))
+        self._wide = sorted(
+            (block for wide in self._wide_of.values() for block in wide),
+            key=lambda block: block[1] - block[0],
+        )
         self._release(changed, sites)
         self._sites = sites
 
@@ -193,16 +199,19 @@
             else:
                 self._ranges.pop(bucket, None)
 
-    def _rebuild_wide(self, sites: "Mapping[str, Site]") -> None:
-        wide = []
-        for name, site in sites.items():
-            # Cheap test: most sites have no wide block.
-            for first, length in site.blocks.pairs() if _is_wide(site) else ():
-                if length < _BUCKET_BITS:
-                    last = first + (1 << (32 - length)) - 1
-                    wide.append((first, last, self._numbers[name]))
-        wide.sort(key=lambda w: w[1] - w[0])
-        self._wide = wide
+    def _note_wide(self, name: str, site: "Site | None") -> None:
+        """Keep a site's blocks that are wider than a bucket."""
+        self._wide_of.pop(name, None)
+        if site is None:
+            return
+        number = self._numbers[name]
+        wide = [
+            (first, first + (1 << (32 - length)) - 1, number)
+            for first, length in site.blocks.pairs()
+            if length < _BUCKET_BITS
+        ]
+        if wide:
+            self._wide_of[name] = wide
 
 
 def _prefix_length(packed: bytes) -> int:
@@ -217,10 +226,6 @@
     return _NO_SITE
 
 
-def _is_wide(site: "Site") -> bool:
-    return min(site.blocks.packed[4::5], default=32) < _BUCKET_BITS
-
-
 def _buckets(blocks: Blocks) -> set[int]:
     return {
         first >> _BUCKET_BITS
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -112,6 +112,11 @@
         ]
 
 
+def _kind(method: str, path: str) -> str:
+    """Return what a call is counted as: method and kind of key."""
+    return " ".join([method, *path.split("/")[2:5]])
+
+
 def make_handler(platform: Platform) -> type[Handler]:
     """Return a handler class for a platform."""
 
@@ -122,7 +127,7 @@
             query = dict(
                 urllib.parse.parse_qsl(parts.query, keep_blank_values=True)
             )
-            platform.calls[self.command] += 1
+            platform.calls[_kind(self.command, parts.path)] += 1
             if platform.outage:
                 self.close_connection = True
                 self.connection.close()
