Split the entry path into reading, shifting and results

Change: runtime/request.py, results.py and shifting.py; behaviour unchanged. Conclusion: no logic was touched.

--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -3,12 +3,9 @@
 import dataclasses
 import threading
 import time
-import uuid
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from chiverun.core.admission import Work
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import Outcome
@@ -26,45 +23,34 @@
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServerName
-from chiverun.core.ids import ServiceName
 from chiverun.core.issuers import IssuerDirectory
 from chiverun.core.links import message_bytes
-from chiverun.core.lookup import origin_region
 from chiverun.core.retries import DEFAULT_THREADS
 from chiverun.core.retries import LongThreads
 from chiverun.core.routing import overflow_targets
 from chiverun.core.routing import REGION_DETOUR_S
-from chiverun.core.routing import region_room
 from chiverun.core.routing import region_targets
-from chiverun.core.routing import shift_targets
 from chiverun.core.routing import Target
-from chiverun.core.shift import active_shift
-from chiverun.core.shift import followed_by
-from chiverun.core.shift import grow
-from chiverun.core.shift import is_same_move
-from chiverun.core.shift import Measurement
-from chiverun.core.shift import note_refused
-from chiverun.core.shift import select_targets
-from chiverun.core.shift import ShiftProgress
-from chiverun.core.shift import take
 from chiverun.core.ticket import Region
-from chiverun.core.ticket import RequestClass
-from chiverun.core.ticket import Service
-from chiverun.core.ticket import Shift
-from chiverun.core.ticket import Zone
 from chiverun.integrations.backend import Outgoing
 from chiverun.integrations.web import error_reply
 from chiverun.integrations.web import Incoming
 from chiverun.integrations.web import Reply
 from chiverun.runtime.execution import Attempt
 from chiverun.runtime.execution import backend_headers
-from chiverun.runtime.execution import Content
 from chiverun.runtime.execution import epoch_ms
 from chiverun.runtime.execution import HedgeTerms
 from chiverun.runtime.forward import CLASS_HEADER
 from chiverun.runtime.forward import ORIGIN_HEADER
 from chiverun.runtime.forward import pace_reply
 from chiverun.runtime.forward import SOURCE_HEADER
+from chiverun.runtime.request import EntryRequest
+from chiverun.runtime.request import RequestReader
+from chiverun.runtime.results import fingerprint
+from chiverun.runtime.results import make_result
+from chiverun.runtime.results import to_reply
+from chiverun.runtime.results import unknown_key
+from chiverun.runtime.shifting import ShiftOffers
 
 if TYPE_CHECKING:
     from chiverun.core.clock import Clock
@@ -79,7 +65,6 @@
     from chiverun.runtime.control import Identity
     from chiverun.runtime.execution import Executor
 
-_PREFIX = "/s/"
 # Marks a request that an instance passes on to the issuer of its key.
 ISSUER_HEADER = "X-Chiverun-Issuer"
 # Placements that ended with proof that nothing ran may be tried again this
@@ -88,14 +73,6 @@
 _NO_SEAT_PAUSE_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Request:
-    """A caller's request with what the state says about it."""
-
-    work: Work
-    content: Content
-
-
 @dataclasses.dataclass(kw_only=True)
 class _Progress:
     """Attempts made so far for one request."""
@@ -131,12 +108,14 @@
         self._executor = executor
         self._backends = backends
         self._links = links
-        self._blocks = blocks
         self._keys = keys
         self._budget = budget
         self._telemetry = telemetry
         self._lock = threading.Lock()
-        self._shifts: dict[str, ShiftProgress] = {}
+        self._shifts = ShiftOffers(instance=identity.instance, clock=clock)
+        self._reader = RequestReader(
+            zone=identity.zone, clock=clock, plane=plane, blocks=blocks
+        )
         self._issuers = IssuerDirectory()
         self.in_flight = 0
 
@@ -158,19 +137,19 @@
     def _handle(self, req: Incoming) -> Reply:
         self._issuers.refresh(self._plane.snapshot, self._clock.monotonic())
         try:
-            request = self._request(req)
+            request = self._reader.read(req)
         except ChiverunError as exc:
             # An earlier try with the same key may have run.
             key = IdempotencyKey(req.header("idempotency-key"))
             outcome = self._keys.outcome(key)
             return error_reply(400, outcome, exc.code, exc.message)
         if request.work.request_class.repeatable:
-            return _reply(self._run(request))
+            return to_reply(self._run(request))
         return self._handle_keyed(req, request)
 
     # Keys.
 
-    def _handle_keyed(self, req: Incoming, request: _Request) -> Reply:
+    def _handle_keyed(self, req: Incoming, request: EntryRequest) -> Reply:
         key = IdempotencyKey(req.header("idempotency-key"))
         if not key:
             return error_reply(
@@ -197,20 +176,20 @@
         )
 
     def _run_or_replay(
-        self, req: Incoming, request: _Request, key: IdempotencyKey
+        self, req: Incoming, request: EntryRequest, key: IdempotencyKey
     ) -> Reply:
         begin = self._keys.begin(
-            key, _fingerprint(req), wait_until=request.work.deadline
+            key, fingerprint(req), wait_until=request.work.deadline
         )
         match begin:
             case Run():
                 return self._run_keyed(key, request)
             case Replay(result=result):
-                return _reply(result)
+                return to_reply(result)
             case Refuse(outcome=outcome, code=code):
                 return error_reply(409, outcome, code, f"key {key}")
 
-    def _run_keyed(self, key: IdempotencyKey, request: _Request) -> Reply:
+    def _run_keyed(self, key: IdempotencyKey, request: EntryRequest) -> Reply:
         result = StoredResult(
             outcome=Outcome.UNKNOWN,
             code=ResultCode.INTERNAL,
@@ -222,12 +201,12 @@
             result = self._run(request)
         finally:
             self._keys.finish(key, result)
-        return _reply(result)
+        return to_reply(result)
 
     def _ask_issuer(
         self,
         req: Incoming,
-        request: _Request,
+        request: EntryRequest,
         key: IdempotencyKey,
         instance: InstanceId,
     ) -> Reply:
@@ -238,12 +217,12 @@
         """
         if req.header(ISSUER_HEADER.lower()):
             # The asking instance has an old address of the issuer.
-            return _unknown_key(key, "its issuer has moved")
+            return unknown_key(key, "its issuer has moved")
         issuer = self._issuers.find(instance)
         if issuer is None:
-            return _unknown_key(key, "its issuer is not known to be live")
+            return unknown_key(key, "its issuer is not known to be live")
         if self._pace_request(issuer, request) is not None:
-            return _unknown_key(key, "the link to its issuer has no room")
+            return unknown_key(key, "the link to its issuer has no room")
         headers = backend_headers(req.headers)
         self._name_regions(headers, request.work)
         headers[ISSUER_HEADER] = instance
@@ -266,11 +245,11 @@
         match end:
             case PeerRefused(code=ResultCode.REQUEST_MALFORMED):
                 # It was refused before its key was looked up.
-                return _unknown_key(key, "its issuer could not read it")
+                return unknown_key(key, "its issuer could not read it")
             case Answered() | PeerRefused():
-                return _reply(_result(end))
+                return to_reply(make_result(end))
             case _:
-                return _unknown_key(key, "its issuer did not answer")
+                return unknown_key(key, "its issuer did not answer")
 
     def _name_regions(self, headers: dict[str, str], work: Work) -> None:
         headers[SOURCE_HEADER] = work.source_region
@@ -281,18 +260,18 @@
 
     # Attempts.
 
-    def _run(self, request: _Request) -> StoredResult:
+    def _run(self, request: EntryRequest) -> StoredResult:
         """Run a request; long ones may hold only a part of the threads."""
         if not request.work.is_long:
             return self._run_placed(request)
         if not self._long_threads.try_enter():
-            return _result(PeerRefused(code=ResultCode.QUEUE_FULL))
+            return make_result(PeerRefused(code=ResultCode.QUEUE_FULL))
         try:
             return self._run_placed(request)
         finally:
             self._long_threads.leave()
 
-    def _run_placed(self, request: _Request) -> StoredResult:
+    def _run_placed(self, request: EntryRequest) -> StoredResult:
         """Place a request until it is answered or may not be tried again."""
         self._budget.deposit()
         progress = _Progress(attempts_left=request.work.request_class.attempts)
@@ -305,9 +284,11 @@
                 continue
             if not self._may_try_again(attempt, progress, request):
                 break
-        return _result(end, may_have_run=progress.may_have_run)
+        return make_result(end, may_have_run=progress.may_have_run)
 
-    def _may_wait_for_seats(self, end: ExchangeEnd, request: _Request) -> bool:
+    def _may_wait_for_seats(
+        self, end: ExchangeEnd, request: EntryRequest
+    ) -> bool:
         """Tell whether a request that nothing ran waits at its issuer.
 
         Its key is of no use elsewhere. An issuer that is leaving or has
@@ -323,7 +304,7 @@
         )
 
     def _may_try_again(
-        self, attempt: Attempt, progress: _Progress, request: _Request
+        self, attempt: Attempt, progress: _Progress, request: EntryRequest
     ) -> bool:
         progress.placements_left -= 1
         if attempt.server is not None:
@@ -347,10 +328,10 @@
                     and self._budget.withdraw()
                 )
 
-    def _has_time(self, request: _Request) -> bool:
+    def _has_time(self, request: EntryRequest) -> bool:
         return self._clock.monotonic() < request.work.deadline
 
-    def _place(self, request: _Request, progress: _Progress) -> Attempt:
+    def _place(self, request: EntryRequest, progress: _Progress) -> Attempt:
         """Try the places in order until one takes the request."""
         attempt = Attempt(end=PeerRefused(code=ResultCode.NO_CAPACITY))
         for attempt in self._placements(request, progress):
@@ -359,7 +340,7 @@
         return attempt
 
     def _placements(
-        self, request: _Request, progress: _Progress
+        self, request: EntryRequest, progress: _Progress
     ) -> Iterator[Attempt]:
         snapshot = self._plane.snapshot
         work = request.work
@@ -368,9 +349,9 @@
         hedge = HedgeTerms(
             attempts_left=progress.attempts_left, budget=self._budget
         )
-        for target in self._shift_targets(snapshot, work, now):
+        for target in self._shifts.targets(snapshot, work, now):
             attempt = self._forward(target, request)
-            self._note_shift_refusal(target, work, attempt)
+            self._shifts.note(snapshot, target, work, attempt.end)
             yield attempt
         local = self._executor.run(
             work, request.content, excluded, may_wait=False, hedge=hedge
@@ -405,50 +386,7 @@
             return False
         return self._executor.expected_wait_s(work) < REGION_DETOUR_S
 
-    def _shift_targets(
-        self, snapshot: "Snapshot", work: Work, now: float
-    ) -> list[Target]:
-        shift = active_shift(snapshot.state, work.service, work.source_region)
-        if shift is None:
-            return []
-        with self._lock:
-            progress = self._shift_progress(shift)
-            room, measured_at = region_room(
-                snapshot, shift.target, shift.service
-            )
-            measurement = Measurement(room=room, age_s=now - measured_at)
-            grow(progress, measurement, now)
-            if not take(progress):
-                return []
-            targets = shift_targets(snapshot, self._me.instance, shift, now)
-            return select_targets(progress, targets, now)
-
-    def _note_shift_refusal(
-        self, target: Target, work: Work, attempt: Attempt
-    ) -> None:
-        match attempt.end:
-            case PeerRefused(code=ResultCode.SHIFT_CAP):
-                state = self._plane.snapshot.state
-                shift = active_shift(state, work.service, work.source_region)
-                if shift is None:
-                    return
-                with self._lock:
-                    note_refused(
-                        self._shift_progress(shift),
-                        target,
-                        self._clock.monotonic(),
-                    )
-
-    def _shift_progress(self, shift: Shift) -> ShiftProgress:
-        progress = self._shifts.get(shift.name)
-        if progress is None or not is_same_move(progress.shift, shift):
-            progress = ShiftProgress(shift=shift)
-        elif progress.shift != shift:
-            progress = followed_by(progress, shift)
-        self._shifts[shift.name] = progress
-        return progress
-
-    def _forward(self, target: Target, request: _Request) -> Attempt:
+    def _forward(self, target: Target, request: EntryRequest) -> Attempt:
         """Send a request to an instance of another zone."""
         refused = self._pace_request(target, request)
         if refused is not None:
@@ -481,7 +419,7 @@
         return Attempt(end=end)
 
     def _pace_request(
-        self, target: Target, request: _Request
+        self, target: Target, request: EntryRequest
     ) -> Attempt | None:
         """Wait for the link's rate; return a refusal if it has no room."""
         work = request.work
@@ -497,141 +435,6 @@
             return Attempt(end=PeerRefused(code=ResultCode.LINK_CAP))
         return None
 
-    # Reading a request.
-
-    def _request(self, req: Incoming) -> _Request:
-        state = self._plane.snapshot.state
-        if not req.path.startswith(_PREFIX):
-            raise ChiverunError(
-                ResultCode.REQUEST_MALFORMED,
-                f"path is {req.path!r}; valid: /s/<service>/...",
-            )
-        name, _, rest = req.path.removeprefix(_PREFIX).partition("/")
-        services = state.of(Service)
-        service = services.get(ServiceName(name))
-        if service is None:
-            valid = ", ".join(sorted(services)) or "none yet"
-            raise ChiverunError(
-                ResultCode.SERVICE_UNKNOWN,
-                f"service is {name!r}; valid: {valid}",
-            )
-        path = "/" + rest
-        request_class = match_class(service, req.method, path)
-        region = self._home_region(state)
-        return _Request(
-            work=Work(
-                service=service.name,
-                request_class=request_class,
-                source_region=region,
-                deadline=self._deadline(req, request_class),
-                origin_region=self._origin(req, state),
-            ),
-            content=Content(
-                method=req.method,
-                path=path + (f"?{req.query}" if req.query else ""),
-                headers=req.headers,
-                body=req.body,
-                request_id=uuid.uuid4().hex,
-            ),
-        )
-
-    def _home_region(self, state) -> RegionName:
-        zone = state.of(Zone).get(self._me.zone)
-        if zone is None:
-            raise ChiverunError(
-                ResultCode.NOT_READY, f"zone {self._me.zone} is in no ticket"
-            )
-        return zone.region
-
-    def _origin(self, req: Incoming, state) -> RegionName | None:
-        """Return the caller's region; a peer that passes it on states it."""
-        table = self._blocks.get(state)
-        origin = origin_region(state, table, req.remote)
-        stated = RegionName(req.header(ORIGIN_HEADER.lower()))
-        if origin is None and stated in state.of(Region):
-            return stated
-        return origin
-
-    def _deadline(self, req: Incoming, request_class: RequestClass) -> float:
-        most_ms = request_class.deadline_ms
-        text = req.header("x-deadline-ms", str(most_ms))
-        is_number = text.isascii() and text.isdigit() and len(text) <= 15
-        if not is_number or int(text) == 0:
-            raise ChiverunError(
-                ResultCode.DEADLINE_INVALID,
-                f"X-Deadline-Ms is {text!r}; valid: 1 to {most_ms}",
-            )
-        return self._clock.monotonic() + min(int(text), most_ms) / 1000.0
-
-
-def match_class(service: Service, method: str, path: str) -> RequestClass:
-    """Return the first class that matches; raises CLASS_UNKNOWN."""
-    for request_class in service.classes:
-        if method in request_class.methods and path.startswith(
-            request_class.path_prefix
-        ):
-            return request_class
-    raise ChiverunError(
-        ResultCode.CLASS_UNKNOWN,
-        f"{method} {path} matches no class of service {service.name}; "
-        f"valid: {', '.join(_rule(c) for c in service.classes)}",
-    )
-
 
 def _lacks_seats(snapshot: "Snapshot") -> bool:
     return snapshot.leaving or not snapshot.seats or not snapshot.confirmed
-
-
-def _rule(request_class: RequestClass) -> str:
-    return f"{'|'.join(request_class.methods)} {request_class.path_prefix}"
-
-
-def _fingerprint(req: Incoming) -> str:
-    hashed = xxhash.xxh3_128()
-    for part in (req.method, req.path, req.query):
-        hashed.update(part.encode() + b"\0")
-    hashed.update(req.body)
-    return hashed.hexdigest()
-
-
-def _result(end: ExchangeEnd, *, may_have_run: bool = False) -> StoredResult:
-    classified = classify(end)
-    if isinstance(end, Answered):
-        return StoredResult(
-            outcome=classified.outcome,
-            code=classified.code,
-            status=end.status,
-            headers=end.headers,
-            body=end.body,
-        )
-    outcome = Outcome.UNKNOWN if may_have_run else classified.outcome
-    status = 503 if outcome is Outcome.NOT_RUN else 502
-    reply = error_reply(status, outcome, classified.code, type(end).__name__)
-    return StoredResult(
-        outcome=outcome,
-        code=classified.code,
-        status=status,
-        headers=reply.headers[:1],
-        body=reply.body,
-    )
-
-
-def _reply(result: StoredResult) -> Reply:
-    return Reply(
-        status=result.status,
-        headers=(
-            *result.headers,
-            ("X-Chiverun-Outcome", result.outcome.value),
-            ("X-Chiverun-Code", str(int(result.code))),
-        ),
-        body=result.body,
-    )
-
-
-def _unknown_key(key: IdempotencyKey, reason: str) -> Reply:
-    return error_reply(
-        409,
-        Outcome.UNKNOWN,
-        ResultCode.KEY_OUTCOME_UNKNOWN,
-        f"key {key}: {reason}; its request will not be run again",
-    )
--- /dev/null
+++ b/chiverun/runtime/request.py
@@ -0,0 +1,135 @@
+"""Reads callers' requests against the state in force."""
+
+import dataclasses
+import uuid
+from typing import TYPE_CHECKING
+
+from chiverun.core.admission import Work
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.core.ids import RegionName
+from chiverun.core.ids import ServiceName
+from chiverun.core.lookup import origin_region
+from chiverun.core.ticket import Region
+from chiverun.core.ticket import RequestClass
+from chiverun.core.ticket import Service
+from chiverun.core.ticket import Zone
+from chiverun.integrations.web import Incoming
+from chiverun.runtime.execution import Content
+from chiverun.runtime.forward import ORIGIN_HEADER
+
+if TYPE_CHECKING:
+    from chiverun.core.clock import Clock
+    from chiverun.core.ids import ZoneName
+    from chiverun.core.lookup import BlockTables
+    from chiverun.runtime.control import ControlPlane
+
+_PREFIX = "/s/"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryRequest:
+    """A caller's request with what the state says about it."""
+
+    work: Work
+    content: Content
+
+
+class RequestReader:
+    """Finds service, class, deadline and regions of a request."""
+
+    def __init__(
+        self,
+        *,
+        zone: "ZoneName",
+        clock: "Clock",
+        plane: "ControlPlane",
+        blocks: "BlockTables",
+    ) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._plane = plane
+        self._blocks = blocks
+
+    def read(self, req: Incoming) -> EntryRequest:
+        """Read a request; raises a 1xx code or NOT_READY."""
+        state = self._plane.snapshot.state
+        if not req.path.startswith(_PREFIX):
+            raise ChiverunError(
+                ResultCode.REQUEST_MALFORMED,
+                f"path is {req.path!r}; valid: /s/<service>/...",
+            )
+        name, _, rest = req.path.removeprefix(_PREFIX).partition("/")
+        services = state.of(Service)
+        service = services.get(ServiceName(name))
+        if service is None:
+            valid = ", ".join(sorted(services)) or "none yet"
+            raise ChiverunError(
+                ResultCode.SERVICE_UNKNOWN,
+                f"service is {name!r}; valid: {valid}",
+            )
+        path = "/" + rest
+        request_class = match_class(service, req.method, path)
+        region = self._home_region(state)
+        return EntryRequest(
+            work=Work(
+                service=service.name,
+                request_class=request_class,
+                source_region=region,
+                deadline=self._deadline(req, request_class),
+                origin_region=self._origin(req, state),
+            ),
+            content=Content(
+                method=req.method,
+                path=path + (f"?{req.query}" if req.query else ""),
+                headers=req.headers,
+                body=req.body,
+                request_id=uuid.uuid4().hex,
+            ),
+        )
+
+    def _home_region(self, state) -> RegionName:
+        zone = state.of(Zone).get(self._zone)
+        if zone is None:
+            raise ChiverunError(
+                ResultCode.NOT_READY, f"zone {self._zone} is in no ticket"
+            )
+        return zone.region
+
+    def _origin(self, req: Incoming, state) -> RegionName | None:
+        """Return the caller's region; a peer that passes it on states it."""
+        table = self._blocks.get(state)
+        origin = origin_region(state, table, req.remote)
+        stated = RegionName(req.header(ORIGIN_HEADER.lower()))
+        if origin is None and stated in state.of(Region):
+            return stated
+        return origin
+
+    def _deadline(self, req: Incoming, request_class: RequestClass) -> float:
+        most_ms = request_class.deadline_ms
+        text = req.header("x-deadline-ms", str(most_ms))
+        is_number = text.isascii() and text.isdigit() and len(text) <= 15
+        if not is_number or int(text) == 0:
+            raise ChiverunError(
+                ResultCode.DEADLINE_INVALID,
+                f"X-Deadline-Ms is {text!r}; valid: 1 to {most_ms}",
+            )
+        return self._clock.monotonic() + min(int(text), most_ms) / 1000.0
+
+
+def match_class(service: Service, method: str, path: str) -> RequestClass:
+    """Return the first class that matches; raises CLASS_UNKNOWN."""
+    for request_class in service.classes:
+        if method in request_class.methods and path.startswith(
+            request_class.path_prefix
+        ):
+            return request_class
+    raise ChiverunError(
+        ResultCode.CLASS_UNKNOWN,
+        f"{method} {path} matches no class of service {service.name}; "
+        f"valid: {', '.join(_rule(c) for c in service.classes)}",
+    )
+
+
+def _rule(request_class: RequestClass) -> str:
+    return f"{'|'.join(request_class.methods)} {request_class.path_prefix}"
--- /dev/null
+++ b/chiverun/runtime/results.py
@@ -0,0 +1,71 @@
+"""What callers are told: results, responses, key fingerprints."""
+
+import xxhash
+
+from chiverun.core.errors import Outcome
+from chiverun.core.errors import ResultCode
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import classify
+from chiverun.core.exchange import ExchangeEnd
+from chiverun.core.idempotency import StoredResult
+from chiverun.core.ids import IdempotencyKey
+from chiverun.integrations.web import error_reply
+from chiverun.integrations.web import Incoming
+from chiverun.integrations.web import Reply
+
+
+def fingerprint(req: Incoming) -> str:
+    """Return a hash that binds a key to its request."""
+    hashed = xxhash.xxh3_128()
+    for part in (req.method, req.path, req.query):
+        hashed.update(part.encode() + b"\0")
+    hashed.update(req.body)
+    return hashed.hexdigest()
+
+
+def make_result(
+    end: ExchangeEnd, *, may_have_run: bool = False
+) -> StoredResult:
+    """Return what a caller is told of an exchange's end."""
+    classified = classify(end)
+    if isinstance(end, Answered):
+        return StoredResult(
+            outcome=classified.outcome,
+            code=classified.code,
+            status=end.status,
+            headers=end.headers,
+            body=end.body,
+        )
+    outcome = Outcome.UNKNOWN if may_have_run else classified.outcome
+    status = 503 if outcome is Outcome.NOT_RUN else 502
+    reply = error_reply(status, outcome, classified.code, type(end).__name__)
+    return StoredResult(
+        outcome=outcome,
+        code=classified.code,
+        status=status,
+        headers=reply.headers[:1],
+        body=reply.body,
+    )
+
+
+def to_reply(result: StoredResult) -> Reply:
+    """Return the response with its outcome and code."""
+    return Reply(
+        status=result.status,
+        headers=(
+            *result.headers,
+            ("X-Chiverun-Outcome", result.outcome.value),
+            ("X-Chiverun-Code", str(int(result.code))),
+        ),
+        body=result.body,
+    )
+
+
+def unknown_key(key: IdempotencyKey, reason: str) -> Reply:
+    """Return the response to a key whose outcome nobody can tell."""
+    return error_reply(
+        409,
+        Outcome.UNKNOWN,
+        ResultCode.KEY_OUTCOME_UNKNOWN,
+        f"key {key}: {reason}; its request will not be run again",
+    )
--- /dev/null
+++ b/chiverun/runtime/shifting.py
@@ -0,0 +1,83 @@
+"""Which requests this instance offers to the target of a shift."""
+
+import threading
+from typing import TYPE_CHECKING
+
+from chiverun.core.admission import Work
+from chiverun.core.errors import ResultCode
+from chiverun.core.exchange import ExchangeEnd
+from chiverun.core.exchange import PeerRefused
+from chiverun.core.routing import region_room
+from chiverun.core.routing import shift_targets
+from chiverun.core.routing import Target
+from chiverun.core.shift import active_shift
+from chiverun.core.shift import followed_by
+from chiverun.core.shift import grow
+from chiverun.core.shift import is_same_move
+from chiverun.core.shift import Measurement
+from chiverun.core.shift import note_refused
+from chiverun.core.shift import select_targets
+from chiverun.core.shift import ShiftProgress
+from chiverun.core.shift import take
+from chiverun.core.ticket import Shift
+
+if TYPE_CHECKING:
+    from chiverun.core.clock import Clock
+    from chiverun.core.ids import InstanceId
+    from chiverun.core.snapshot import Snapshot
+
+
+class ShiftOffers:
+    """Progress of the active shifts on this instance; thread-safe."""
+
+    def __init__(self, *, instance: "InstanceId", clock: "Clock") -> None:
+        self._instance = instance
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._progress: dict[str, ShiftProgress] = {}
+
+    def targets(
+        self, snapshot: "Snapshot", work: Work, now: float
+    ) -> list[Target]:
+        """Return the instances to offer a request to, if it is moved."""
+        shift = active_shift(snapshot.state, work.service, work.source_region)
+        if shift is None:
+            return []
+        with self._lock:
+            progress = self._progress_of(shift)
+            room, measured_at = region_room(
+                snapshot, shift.target, shift.service
+            )
+            measurement = Measurement(room=room, age_s=now - measured_at)
+            grow(progress, measurement, now)
+            if not take(progress):
+                return []
+            targets = shift_targets(snapshot, self._instance, shift, now)
+            return select_targets(progress, targets, now)
+
+    def note(
+        self,
+        snapshot: "Snapshot",
+        target: Target,
+        work: Work,
+        end: ExchangeEnd,
+    ) -> None:
+        """Note how an offer ended; an instance at its cap rests."""
+        if end != PeerRefused(code=ResultCode.SHIFT_CAP):
+            return
+        shift = active_shift(snapshot.state, work.service, work.source_region)
+        if shift is None:
+            return
+        with self._lock:
+            note_refused(
+                self._progress_of(shift), target, self._clock.monotonic()
+            )
+
+    def _progress_of(self, shift: Shift) -> ShiftProgress:
+        progress = self._progress.get(shift.name)
+        if progress is None or not is_same_move(progress.shift, shift):
+            progress = ShiftProgress(shift=shift)
+        elif progress.shift != shift:
+            progress = followed_by(progress, shift)
+        self._progress[shift.name] = progress
+        return progress
--- a/tests/runtime/test_entry_load.py
+++ b/tests/runtime/test_entry_load.py
@@ -10,9 +10,9 @@
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
-from chiverun.runtime.entry import _Request
 from chiverun.runtime.entry import Entry
 from chiverun.runtime.execution import Executor
+from chiverun.runtime.request import EntryRequest
 from tests.core.zones import EXPORT
 from tests.core.zones import READ
 from tests.core.zones import server
@@ -46,7 +46,7 @@
 
         def run(request_class):
             work = zone.work(request_class)
-            return entry._run(_Request(work=work, content=mock.Mock()))
+            return entry._run(EntryRequest(work=work, content=mock.Mock()))
 
         threads = [
             threading.Thread(target=run, args=(EXPORT,)) for _ in range(2)
