Name the valid measurements in the error

Cause: an unknown name was answered with a list that ended in []. Change: a plain check that names the bad value and the valid ones. Measured: scripts/measure.sh nope and imports run. Conclusion: errors read like those of the program.

--- a/standins/measure.py
+++ b/standins/measure.py
@@ -28,9 +28,13 @@
 def main() -> None:
     """Run the named measurements, or all of them."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("names", nargs="*", choices=[*_MEASURES, []])
+    parser.add_argument("names", nargs="*", metavar="NAME")
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
+    for name in args.names:
+        if name not in _MEASURES:
+            valid = ", ".join(_MEASURES)
+            parser.error(f"NAME is {name!r}; valid: {valid}")
     for name in args.names or _MEASURES:
         module, function = _MEASURES[name]
         measure = getattr(importlib.import_module(module), function)
