Use one function for the relay's routes

Cause: measure_spread.py had a copy of the cluster's route building that differed only in the ports. Change: the ports are an attribute of Cluster, which the spread measure narrows to the peer port.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -42,6 +42,13 @@
         Service times of short and long requests at the backend servers.
     """
 
+    # Ports of instances that other zones reach through the relay.
+    routed_ports: tuple[int, ...] = (
+        deployment.ENTRY_PORT,
+        deployment.FORWARD_PORT,
+        deployment.PEER_PORT,
+    )
+
     def __init__(
         self,
         *,
@@ -98,11 +105,7 @@
                 continue
             near = other.region == instance.region
             relay = f"{self.network}{100 + source * 20 + number}.{index + 1}"
-            for port in (
-                deployment.ENTRY_PORT,
-                deployment.FORWARD_PORT,
-                deployment.PEER_PORT,
-            ):
+            for port in self.routed_ports:
                 announced = f"{self.local(other.host)}:{port}"
                 routes.append(
                     {
--- a/standins/measure_spread.py
+++ b/standins/measure_spread.py
@@ -41,12 +41,14 @@
 class SpreadCluster(Cluster):
     """A deployment of any size with only platform, relay and instances."""
 
+    routed_ports = (deployment.PEER_PORT,)
+
     def prepare(self) -> None:
         """Write settings and routes for peers and the store."""
         (self.folder / "instances").mkdir(parents=True, exist_ok=True)
         routes: list[dict] = []
         for instance in deployment.instances(self.spec):
-            mapping = self._peer_routes(instance, routes)
+            mapping = self._routes_from(instance, routes)
             text = self.local(deployment.settings_text(self.spec, instance))
             path = self.folder / "instances" / f"{instance.name}.ini"
             path.write_text(f"{text}\n[network]\naddress_map = {mapping}\n")
@@ -67,33 +69,6 @@
         self.wait_for_port(store)
         self.wait_for_port(self.relay_control)
 
-    def _peer_routes(self, instance, routes: list[dict]) -> str:
-        zones = [zone for zone, _ in self.spec.zones()]
-        source = zones.index(instance.zone)
-        number = int(instance.host.rpartition(".")[2])
-        mapping: list[str] = []
-        for index, other in enumerate(deployment.instances(self.spec)):
-            if other.zone == instance.zone:
-                continue
-            near = other.region == instance.region
-            host = f"{self.network}{100 + source * 20 + number}.{index + 1}"
-            listen = f"{host}:{deployment.PEER_PORT}"
-            target = f"{self.local(other.host)}:{deployment.PEER_PORT}"
-            routes.append(
-                {
-                    "listen": listen,
-                    "target": target,
-                    "latency_ms": self.spec.zone_ms
-                    if near
-                    else self.spec.region_ms,
-                    "source": instance.zone,
-                    "destination": other.zone,
-                }
-            )
-            mapping.append(f"{target}={listen}")
-        self._route_to_store(instance, source, number, routes, mapping)
-        return ", ".join(mapping)
-
 
 class SpreadClock:
     """Submits tickets and reads when each instance had them in force."""
