Split grants in use from admission and records from the ticket log

The edge instance uses none of these modules.

tests.core.test_admission, test_choice, test_ticketlog, test_hedging, test_entry, test_ticketspread and test_cli pass.

--- a/chiverun/core/admission.py
+++ b/chiverun/core/admission.py
@@ -6,7 +6,6 @@
 which for an unknown outcome is the request's deadline.
 """
 
-import heapq
 import math
 import random
 import threading
@@ -18,7 +17,7 @@
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import ExchangeEnd
-from chiverun.core.health import aged_slowness
+from chiverun.core.grants import GrantTable
 from chiverun.core.health import mark_draining
 from chiverun.core.health import ServerHealth
 from chiverun.core.healthtable import HealthTable
@@ -26,14 +25,9 @@
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
 from chiverun.core.ids import ZoneName
-from chiverun.core.overdue import OVERDUE_FACTOR
-from chiverun.core.overdue import OVERDUE_MIN_S
-from chiverun.core.overdue import OverdueTable
 from chiverun.core.queuelimits import QueueLimits
 from chiverun.core.shiftcaps import ShiftCaps
-from chiverun.core.slots import RegionUnits
 from chiverun.core.slots import ServerSlots
-from chiverun.core.slots import SlotTable
 from chiverun.core.ticket import Length
 from chiverun.core.ticket import Server
 from chiverun.core.ticket import Service
@@ -88,15 +82,12 @@
         self._lock = threading.Lock()
         self._snapshot: Snapshot | None = None
         self._layout: tuple | None = None
-        self._slots = SlotTable()
-        self._units = RegionUnits()
-        self._overdue = OverdueTable()
         self._queues: WaitQueues[Work, Grant] = WaitQueues()
-        self._busy: dict[int, Grant] = {}
-        # Heap of grants whose slots stay occupied until a time, by number.
-        self._occupied: list[tuple[float, int, Grant]] = []
         self._health = HealthTable()
         self._times = TimesTable()
+        self._grants = GrantTable(health=self._health, times=self._times)
+        self._slots = self._grants.slots
+        self._units = self._grants.units
         self._limits = QueueLimits(
             queues=self._queues,
             times=self._times,
@@ -105,7 +96,6 @@
             waiters_max=waiters_max,
         )
         self._shift_caps = ShiftCaps(zone=zone)
-        self._numbers = 0
 
     def update(self, snapshot: "Snapshot") -> None:
         """Take over a newly published snapshot."""
@@ -119,7 +109,7 @@
                 self._layout = layout
                 self._rebuild(snapshot, now)
             self._health.note_returned(snapshot, now)
-            self._advance(now)
+            self._grants.advance(now)
             self._serve(now)
 
     def try_acquire(
@@ -225,8 +215,8 @@
         """Give back a grant that was not used."""
         now = self._clock.monotonic()
         with self._lock:
-            if self._busy.pop(grant.number, None) is not None:
-                self._end(grant)
+            if self._grants.give_back(grant):
+                self._grants.end(grant)
                 self._serve(now)
 
     def release(
@@ -254,13 +244,13 @@
         """
         now = self._clock.monotonic()
         with self._lock:
-            if self._busy.pop(grant.number, None) is None:
+            if not self._grants.give_back(grant):
                 return
             if exchange.may_still_run(end) and not ended:
                 until = max(now, grant.work.deadline + CLOCK_MARGIN_S)
-                heapq.heappush(self._occupied, (until, grant.number, grant))
+                self._grants.occupy(grant, until)
             else:
-                self._end(grant)
+                self._grants.end(grant)
             self._times.record(
                 grant.work,
                 end,
@@ -269,7 +259,7 @@
                 cancelled=cancelled,
                 health=self._health.get(grant.server.name),
             )
-            self._advance(now)
+            self._grants.advance(now)
             self._serve(now)
 
     def expected_wait_s(self, work: Work) -> float:
@@ -312,7 +302,7 @@
         with self._lock:
             if not self._is_current(now):
                 return {}
-            self._advance(now)
+            self._grants.advance(now)
             rooms = {}
             for service in self._snapshot.state.of(Service):
                 names = self._slots.servers(service)
@@ -327,7 +317,7 @@
     def in_flight(self) -> int:
         """Return the number of grants in use."""
         with self._lock:
-            return len(self._busy)
+            return self._grants.in_use()
 
     def seat_in_use(self, seat: SeatIndex) -> bool:
         """Tell whether a server may still run work on a seat's slots.
@@ -336,8 +326,8 @@
         """
         now = self._clock.monotonic()
         with self._lock:
-            self._advance(now)
-            return self._slots.seat_in_use(seat) or self._units.in_use(seat)
+            self._grants.advance(now)
+            return self._grants.seat_in_use(seat)
 
     # Callers of the methods below hold the lock.
 
@@ -350,7 +340,7 @@
             raise refusal(
                 ResultCode.DEADLINE_UNREACHABLE, work, "too little time left"
             )
-        self._advance(now)
+        self._grants.advance(now)
 
     def _is_current(self, now: float) -> bool:
         snapshot = self._snapshot
@@ -399,32 +389,11 @@
         if name is None:
             return None
         self._shift_caps.take(self._snapshot, work, now)
-        return self._take(work, name, now)
+        return self._grants.take(work, name, now)
 
     def _row(self, name: ServerName) -> tuple[ServerHealth, ServerSlots]:
         return self._health[name], self._slots.server(name)
 
-    def _take(self, work: Work, name: ServerName, now: float) -> Grant:
-        slot = self._slots.take(name, is_long=work.is_long)
-        self._numbers += 1
-        grant = Grant(
-            number=self._numbers,
-            server=self._slots.server(name).server,
-            slot=slot.index,
-            seat=slot.seat,
-            unit=self._units.charge(now),
-            work=work,
-            granted_at=now,
-        )
-        self._busy[grant.number] = grant
-        usual_s = self._times.median_s(work.key)
-        if not work.is_long and usual_s:
-            slowness = aged_slowness(self._health[name], now)
-            limit_s = OVERDUE_FACTOR * usual_s * max(1.0, slowness)
-            due_at = now + max(OVERDUE_MIN_S, limit_s)
-            self._overdue.watch(grant.number, work.key, name, due_at)
-        return grant
-
     def _is_suspect(self, work: Work, now: float) -> bool:
         """Tell whether a short class has to leave slots to the others."""
         service = self._snapshot.state.of(Service).get(work.service)
@@ -434,20 +403,7 @@
         if len(short) < 2:
             return False
         slots = int(self._limits.usable_slots(self._snapshot, work, now))
-        return self._overdue.is_suspect(work.key, slots, now)
-
-    def _end(self, grant: Grant) -> None:
-        """Free what a grant holds; its exchange has provably ended."""
-        self._slots.free((grant.server.name, grant.slot))
-        self._units.refund(grant.unit)
-        server = self._overdue.end(grant.number)
-        if server is not None:
-            self._count_overdue(server, -1)
-
-    def _count_overdue(self, name: ServerName, change: int) -> None:
-        if name in self._health:
-            row = self._slots.server(name)
-            row.overdue = max(0, row.overdue + change)
+        return self._grants.is_suspect(work.key, slots, now)
 
     def _serve(self, now: float) -> None:
         if self._is_current(now):
@@ -466,14 +422,6 @@
     def _expire_waiter(self, waiter: Waiter[Work, Grant]) -> ChiverunError:
         return late_refusal(waiter.work)
 
-    def _advance(self, now: float) -> None:
-        """Apply what time has changed."""
-        for name in self._overdue.advance(now):
-            self._count_overdue(name, 1)
-        self._slots.advance(now)
-        while self._occupied and self._occupied[0][0] <= now:
-            self._end(heapq.heappop(self._occupied)[2])
-
     def _rebuild(self, snapshot: "Snapshot", now: float) -> None:
         """Lay out slots, health rows and caps anew after a change."""
         state = snapshot.state
--- a/chiverun/core/dissemination.py
+++ b/chiverun/core/dissemination.py
@@ -26,7 +26,7 @@
 from chiverun.core.ticket import Zone
 from chiverun.core.ticket import ZoneState
 from chiverun.core.ticketentry import encode_entry
-from chiverun.core.ticketlog import ENTRIES_KEPT
+from chiverun.core.ticketrecords import ENTRIES_KEPT
 
 if TYPE_CHECKING:
     from chiverun.core.ticketentry import Entry
--- a/chiverun/core/ticketlog.py
+++ b/chiverun/core/ticketlog.py
@@ -4,7 +4,6 @@
 whole; a submitter copies it to the log before it replaces it.
 """
 
-import dataclasses
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -14,16 +13,6 @@
 from chiverun.core.state import empty_state
 from chiverun.core.state import State
 from chiverun.core.ticket import Ticket
-from chiverun.core.ticketbase import BASE_KEY
-from chiverun.core.ticketbase import BasePointer
-from chiverun.core.ticketbase import chunk_key
-from chiverun.core.ticketbase import CHUNK_PREFIX
-from chiverun.core.ticketbase import decode_base
-from chiverun.core.ticketbase import decode_pointer
-from chiverun.core.ticketbase import encode_base
-from chiverun.core.ticketbase import encode_pointer
-from chiverun.core.ticketbase import is_replaceable
-from chiverun.core.ticketbase import number_in
 from chiverun.core.ticketcheck import check_ticket
 from chiverun.core.ticketconflict import check_not_behind
 from chiverun.core.ticketconflict import check_same_history
@@ -32,40 +21,27 @@
 from chiverun.core.ticketconflict import number_taken
 from chiverun.core.ticketconflict import outcome_unknown
 from chiverun.core.ticketentry import apply_entry
-from chiverun.core.ticketentry import decode_entry
 from chiverun.core.ticketentry import encode_entry
 from chiverun.core.ticketentry import Entry
 from chiverun.core.ticketentry import fork_error
 from chiverun.core.ticketentry import newest_entry
+from chiverun.core.ticketrecords import Head
+from chiverun.core.ticketrecords import HEAD_KEY
+from chiverun.core.ticketrecords import LogGap
+from chiverun.core.ticketrecords import TicketRecords
 from chiverun.integrations.interfaces import StoreAnswerLost
 from chiverun.integrations.interfaces import StoreUnavailable
 
 if TYPE_CHECKING:
     from chiverun.integrations.interfaces import KeyValueStore
 
-HEAD_KEY = "chiverun/head"
-_ENTRY_PREFIX = "chiverun/ticket/"
 COMPACT_EVERY = 64
-ENTRIES_KEPT = 256
 _LOAD_ATTEMPTS = 4
-_ENSURE_ATTEMPTS = 4
 _SETTLE_ATTEMPTS = 6
 _SETTLE_PAUSE_S = 0.5
 _DAMAGES = {ResultCode.TICKET_MALFORMED, ResultCode.TICKET_FORK}
 
 
-class _LogGap(StoreUnavailable):
-    """A part of the log is missing; it may have been trimmed meanwhile."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Head:
-    """The head entry with the store's index of it; None before ticket 1."""
-
-    entry: Entry | None
-    index: int
-
-
 class TicketLog:
     """Reads and writes the ticket log.
 
@@ -83,14 +59,12 @@
         sleep: Callable[[float], None] = time.sleep,
     ) -> None:
         self._store = store
+        self._records = TicketRecords(store=store)
         self._sleep = sleep
 
     def head(self, *, index: int = 0, wait_s: float = 0.0) -> Head:
         """Read the head; with `index`, wait for a newer one."""
-        item = self._store.get(HEAD_KEY, index=index, wait_s=wait_s)
-        if item is None:
-            return Head(entry=None, index=0)
-        return Head(entry=decode_entry(item.value), index=item.index)
+        return self._records.head(index=index, wait_s=wait_s)
 
     def entry(self, number: int) -> Entry | None:
         """Read an accepted ticket that is still in the log."""
@@ -99,7 +73,7 @@
             return None
         if head.number == number:
             return head
-        return self._logged(number)
+        return self._records.entry(number)
 
     def load(self) -> State:
         """Read the state in force: the base and what follows it.
@@ -113,11 +87,11 @@
         """
         for _ in range(_LOAD_ATTEMPTS - 1):
             try:
-                return self.follow(self._load_base() or empty_state())
-            except _LogGap:
+                return self.follow(self._records.load_base() or empty_state())
+            except LogGap:
                 # A compaction may have moved the base while it was read.
                 continue
-        return self.follow(self._load_base() or empty_state())
+        return self.follow(self._records.load_base() or empty_state())
 
     def entries_between(self, number: int, head: Entry) -> list[Entry] | None:
         """Return the entries after `number` up to the head.
@@ -126,7 +100,7 @@
         """
         entries = []
         for wanted in range(number + 1, head.number):
-            entry = self._logged(wanted)
+            entry = self._records.entry(wanted)
             if entry is None:
                 return None
             entries.append(entry)
@@ -147,7 +121,7 @@
             return state
         entries = self.entries_between(state.number, head)
         if entries is None:
-            raise _LogGap(
+            raise LogGap(
                 f"the log has a gap between tickets {state.number} and "
                 f"{head.number}"
             )
@@ -182,20 +156,7 @@
         of the same number too. One that is damaged or belongs to another
         history than the state's is replaced.
         """
-        item = self._store.get(BASE_KEY)
-        if not is_replaceable(item, state, is_forced):
-            return False
-        pointer, chunks = encode_base(state)
-        for index, chunk in enumerate(chunks):
-            self._ensure(chunk_key(pointer, index), chunk)
-        swapped = self._store.put(
-            BASE_KEY,
-            encode_pointer(pointer),
-            cas=item.index if item else 0,
-        )
-        if swapped:
-            self._trim(pointer)
-        return swapped
+        return self._records.write_base(state, is_forced=is_forced)
 
     def repair(self, state: State, recent: list[Entry]) -> bool:
         """Bring a store that lost accepted tickets forward again.
@@ -225,10 +186,10 @@
             return False
         if head.entry and state.follows(known, head.entry.digest) is False:
             raise fork_error(head.entry, state)
-        self._copy_head(head)
+        self._records.copy_head(head)
         missing = [e for e in recent if known < e.number < state.number]
         for entry in missing:
-            self._ensure(_entry_key(entry.number), encode_entry(entry))
+            self._records.write_entry(entry)
         if len(missing) < state.number - known - 1:
             self._cover_by_base(state)
         return self._store.put(HEAD_KEY, encode_entry(newest), cas=head.index)
@@ -242,7 +203,7 @@
         try:
             if self.load().digest == state.digest:
                 return False
-        except _LogGap:
+        except LogGap:
             pass
         except ChiverunError as exc:
             if exc.code not in _DAMAGES:
@@ -256,7 +217,7 @@
         """Make the state loadable without the tickets that led to it."""
         if self.compact(state):
             return
-        base = decode_pointer(self._store.get(BASE_KEY))
+        base = self._records.base_pointer()
         if base is None or base.digest != state.digest:
             raise StoreUnavailable("the base was changed by another")
 
@@ -282,7 +243,7 @@
             submission=submission,
             ticket=ticket,
         )
-        self._copy_head(head)
+        self._records.copy_head(head)
         self._swap_head(entry, head)
         self._compact_in_turn(apply_entry(state, entry))
         return entry
@@ -340,7 +301,7 @@
             return None
         if now.entry.number == entry.number:
             return now.entry
-        return self._logged(entry.number)
+        return self._records.entry(entry.number)
 
     def _accepted(
         self, ticket: Ticket, submission: str, head: Head
@@ -350,7 +311,7 @@
         entry = (
             head.entry
             if head.entry.number == ticket.number
-            else self._logged(ticket.number)
+            else self._records.entry(ticket.number)
         )
         if entry is None or entry.submission != submission:
             return None
@@ -363,85 +324,11 @@
             )
         return entry
 
-    def _copy_head(self, head: Head) -> None:
-        if head.entry is not None:
-            key = _entry_key(head.entry.number)
-            self._ensure(key, encode_entry(head.entry))
-
-    def _ensure(self, key: str, data: bytes) -> None:
-        """Make a key hold a value that no one else writes differently.
-
-        Another value is a left-over of a history before the store was
-        restored, and is replaced.
-        """
-        for _ in range(_ENSURE_ATTEMPTS):
-            item = self._store.get(key)
-            if item is not None and item.value == data:
-                return
-            try:
-                if self._store.put(key, data, cas=item.index if item else 0):
-                    return
-            except StoreAnswerLost:
-                continue
-        raise StoreUnavailable(f"write {key}: not confirmed")
-
     def _compact_in_turn(self, state: State) -> None:
         """Compact when enough tickets have come; failure costs nothing."""
         try:
-            item = self._store.get(BASE_KEY)
-            base = decode_pointer(item)
+            base = self._records.base_pointer()
             if state.number - (base.number if base else 0) >= COMPACT_EVERY:
                 self.compact(state)
         except (StoreUnavailable, StoreAnswerLost, ChiverunError):
             return
-
-    def _trim(self, base: BasePointer) -> None:
-        """Delete older bases and the entries far behind the new one.
-
-        The keys are listed, so that what an interrupted compaction or a late
-        writer left is found too. Failure costs nothing: the next one goes on.
-        """
-        try:
-            for key in self._store.keys(_ENTRY_PREFIX):
-                number = number_in(key, _ENTRY_PREFIX)
-                if number is None or number <= base.number - ENTRIES_KEPT:
-                    self._remove(key)
-            for key in self._store.keys(CHUNK_PREFIX):
-                number = number_in(key, CHUNK_PREFIX)
-                if number is None or number < base.number:
-                    self._remove(key)
-        except (StoreUnavailable, StoreAnswerLost):
-            return
-
-    def _remove(self, key: str) -> None:
-        item = self._store.get(key)
-        if item is not None:
-            self._store.delete(key, cas=item.index)
-
-    def _load_base(self) -> State | None:
-        base = decode_pointer(self._store.get(BASE_KEY))
-        if base is None:
-            return None
-        chunks = []
-        for index in range(base.chunks):
-            item = self._store.get(chunk_key(base, index))
-            if item is None:
-                raise _LogGap(f"base {base.number}: chunk missing")
-            chunks.append(item.value)
-        return decode_base(base, chunks)
-
-    def _logged(self, number: int) -> Entry | None:
-        item = self._store.get(_entry_key(number))
-        if item is None:
-            return None
-        entry = decode_entry(item.value)
-        if entry.number != number:
-            raise ChiverunError(
-                ResultCode.TICKET_MALFORMED,
-                f"entry in the store: key {number} holds {entry.number}",
-            )
-        return entry
-
-
-def _entry_key(number: int) -> str:
-    return f"{_ENTRY_PREFIX}{number}"
--- /dev/null
+++ b/chiverun/core/ticketrecords.py
@@ -0,0 +1,165 @@
+"""The keys of the ticket log in the platform's key-value store.
+
+Which of them may be written, and in which order, is the ticket log's matter.
+"""
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import ResultCode
+from chiverun.core.state import State
+from chiverun.core.ticketbase import BASE_KEY
+from chiverun.core.ticketbase import BasePointer
+from chiverun.core.ticketbase import chunk_key
+from chiverun.core.ticketbase import CHUNK_PREFIX
+from chiverun.core.ticketbase import decode_base
+from chiverun.core.ticketbase import decode_pointer
+from chiverun.core.ticketbase import encode_base
+from chiverun.core.ticketbase import encode_pointer
+from chiverun.core.ticketbase import is_replaceable
+from chiverun.core.ticketbase import number_in
+from chiverun.core.ticketentry import decode_entry
+from chiverun.core.ticketentry import encode_entry
+from chiverun.core.ticketentry import Entry
+from chiverun.integrations.interfaces import StoreAnswerLost
+from chiverun.integrations.interfaces import StoreUnavailable
+
+if TYPE_CHECKING:
+    from chiverun.integrations.interfaces import KeyValueStore
+
+HEAD_KEY = "chiverun/head"
+_ENTRY_PREFIX = "chiverun/ticket/"
+ENTRIES_KEPT = 256
+_ENSURE_ATTEMPTS = 4
+
+
+class LogGap(StoreUnavailable):
+    """A part of the log is missing; it may have been trimmed meanwhile."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Head:
+    """The head entry with the store's index of it; None before ticket 1."""
+
+    entry: Entry | None
+    index: int
+
+
+class TicketRecords:
+    """Reads and writes single records of the ticket log."""
+
+    def __init__(self, *, store: "KeyValueStore") -> None:
+        self._store = store
+
+    def head(self, *, index: int = 0, wait_s: float = 0.0) -> Head:
+        """Read the head; with `index`, wait for a newer one."""
+        item = self._store.get(HEAD_KEY, index=index, wait_s=wait_s)
+        if item is None:
+            return Head(entry=None, index=0)
+        return Head(entry=decode_entry(item.value), index=item.index)
+
+    def entry(self, number: int) -> Entry | None:
+        """Read a ticket behind the head; None if it is not in the log."""
+        item = self._store.get(_entry_key(number))
+        if item is None:
+            return None
+        entry = decode_entry(item.value)
+        if entry.number != number:
+            raise ChiverunError(
+                ResultCode.TICKET_MALFORMED,
+                f"entry in the store: key {number} holds {entry.number}",
+            )
+        return entry
+
+    def write_entry(self, entry: Entry) -> None:
+        """Have the log hold an accepted ticket."""
+        self._ensure(_entry_key(entry.number), encode_entry(entry))
+
+    def copy_head(self, head: Head) -> None:
+        """Have the log hold the head's ticket, so that it may be replaced."""
+        if head.entry is not None:
+            self.write_entry(head.entry)
+
+    def base_pointer(self) -> BasePointer | None:
+        """Read the pointer to the base; None if there is none to use."""
+        return decode_pointer(self._store.get(BASE_KEY))
+
+    def load_base(self) -> State | None:
+        """Read the compacted state; None if there is none."""
+        base = self.base_pointer()
+        if base is None:
+            return None
+        chunks = []
+        for index in range(base.chunks):
+            item = self._store.get(chunk_key(base, index))
+            if item is None:
+                raise LogGap(f"base {base.number}: chunk missing")
+            chunks.append(item.value)
+        return decode_base(base, chunks)
+
+    def write_base(self, state: State, *, is_forced: bool = False) -> bool:
+        """Write the state as the new base; return whether that was done.
+
+        A base of the same number or newer is kept; `is_forced` replaces one
+        of the same number too. One that is damaged or belongs to another
+        history than the state's is replaced.
+        """
+        item = self._store.get(BASE_KEY)
+        if not is_replaceable(item, state, is_forced):
+            return False
+        pointer, chunks = encode_base(state)
+        for index, chunk in enumerate(chunks):
+            self._ensure(chunk_key(pointer, index), chunk)
+        swapped = self._store.put(
+            BASE_KEY,
+            encode_pointer(pointer),
+            cas=item.index if item else 0,
+        )
+        if swapped:
+            self._trim(pointer)
+        return swapped
+
+    def _trim(self, base: BasePointer) -> None:
+        """Delete older bases and the entries far behind the new one.
+
+        The keys are listed, so that what an interrupted compaction or a late
+        writer left is found too. Failure costs nothing: the next one goes on.
+        """
+        try:
+            for key in self._store.keys(_ENTRY_PREFIX):
+                number = number_in(key, _ENTRY_PREFIX)
+                if number is None or number <= base.number - ENTRIES_KEPT:
+                    self._remove(key)
+            for key in self._store.keys(CHUNK_PREFIX):
+                number = number_in(key, CHUNK_PREFIX)
+                if number is None or number < base.number:
+                    self._remove(key)
+        except (StoreUnavailable, StoreAnswerLost):
+            return
+
+    def _remove(self, key: str) -> None:
+        item = self._store.get(key)
+        if item is not None:
+            self._store.delete(key, cas=item.index)
+
+    def _ensure(self, key: str, data: bytes) -> None:
+        """Make a key hold a value that no one else writes differently.
+
+        Another value is a left-over of a history before the store was
+        restored, and is replaced.
+        """
+        for _ in range(_ENSURE_ATTEMPTS):
+            item = self._store.get(key)
+            if item is not None and item.value == data:
+                return
+            try:
+                if self._store.put(key, data, cas=item.index if item else 0):
+                    return
+            except StoreAnswerLost:
+                continue
+        raise StoreUnavailable(f"write {key}: not confirmed")
+
+
+def _entry_key(number: int) -> str:
+    return f"{_ENTRY_PREFIX}{number}"
--- a/tests/core/test_ticketlog.py
+++ b/tests/core/test_ticketlog.py
@@ -26,9 +26,9 @@
 from chiverun.core.ticketentry import decode_entry
 from chiverun.core.ticketentry import encode_entry
 from chiverun.core.ticketentry import Entry
-from chiverun.core.ticketlog import ENTRIES_KEPT
-from chiverun.core.ticketlog import HEAD_KEY
 from chiverun.core.ticketlog import TicketLog
+from chiverun.core.ticketrecords import ENTRIES_KEPT
+from chiverun.core.ticketrecords import HEAD_KEY
 from chiverun.integrations.interfaces import StoreAnswerLost
 from chiverun.integrations.interfaces import StoreUnavailable
 from standins.memorystore import Fault
