--- /dev/null
+++ b/tests/core/test_grants.py
@@ -0,0 +1,68 @@
+"""Tests of the slots that grants in use hold."""
+
+import unittest
+
+from chiverun.core.grants import GrantTable
+from chiverun.core.healthtable import HealthTable
+from chiverun.core.ticket import Server
+from chiverun.core.timestable import TimesTable
+from chiverun.core.work import Work
+from tests.core.zones import READ
+from tests.core.zones import seats
+from tests.core.zones import server
+from tests.core.zones import state
+
+_NOW = 100.0
+
+
+class GrantTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        servers = list(state(server("s1", slots=2)).of(Server).values())
+        health = HealthTable()
+        health.rebuild(servers, _NOW)
+        self.table = GrantTable(health=health, times=TimesTable())
+        self.table.slots.rebuild(servers, seats(), 4, _NOW)
+        self.table.advance(_NOW)
+
+    def _take(self):
+        work = Work(
+            service="desk",
+            request_class=READ,
+            source_region="dar",
+            deadline=_NOW + 2.0,
+        )
+        return self.table.take(work, "s1", _NOW)
+
+    def _free(self) -> int:
+        return self.table.slots.server("s1").free
+
+    def test_slot_is_free_after_the_end_only(self) -> None:
+        """Guards against a slot used twice while its request runs."""
+        grant = self._take()
+        self.assertEqual((1, 1), (self._free(), self.table.in_use()))
+        self.assertTrue(self.table.give_back(grant))
+        self.assertEqual((1, 0), (self._free(), self.table.in_use()))
+        self.assertTrue(self.table.seat_in_use(grant.seat))
+        self.table.end(grant)
+        self.assertEqual(2, self._free())
+        self.assertFalse(self.table.seat_in_use(grant.seat))
+
+    def test_grant_is_given_back_once(self) -> None:
+        """Guards against a slot that is freed for another's request."""
+        grant = self._take()
+        self.assertTrue(self.table.give_back(grant))
+        self.assertFalse(self.table.give_back(grant))
+
+    def test_occupied_slot_is_freed_at_its_time(self) -> None:
+        """Guards against work that runs beyond a server's slots.
+
+        After an unknown outcome the server may run the request until its
+        deadline.
+        """
+        grant = self._take()
+        self.table.give_back(grant)
+        self.table.occupy(grant, _NOW + 2.25)
+        self.table.advance(_NOW + 2.2)
+        self.assertEqual(1, self._free())
+        self.table.advance(_NOW + 2.25)
+        self.assertEqual(2, self._free())
