Refuse whole heads over the limit; name closed connections in the log

Cause: new tests of the event loop's server and client. A head over the limit that arrived in one piece was served, since h11 bounds only heads that arrive in several pieces. A connection that a server closed without a response was an Incomplete with h11's message, since its end is an error in that state.

Change: the size of a read head is compared with the limit (431); an end without any byte is a Reset. Both ends have the same unknown outcome.

Before: test_unreadable_requests gets 200 for 431, test_ends gets Incomplete. After: 12 of 12 pass.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -159,7 +159,10 @@
                     return
         except h11.RemoteProtocolError as exc:
             self.abort()
-            self._finish(Incomplete(detail=str(exc)))
+            if data or self._response is not None:
+                self._finish(Incomplete(detail=str(exc)))
+            else:
+                self._finish(Reset(detail="closed without a response"))
 
     def _take(self, event: h11.Event | type[h11.PAUSED]) -> bool:
         match event:
@@ -173,11 +176,7 @@
                     return False
             case h11.EndOfMessage():
                 return self._complete()
-            case h11.ConnectionClosed():
-                self.abort()
-                self._finish(Reset(detail="closed without a response"))
-                return False
-            case h11.PAUSED:
+            case h11.ConnectionClosed() | h11.PAUSED:
                 return False
         return True
 
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -156,6 +156,10 @@
                 self._in_head = False
                 self._arrived_at = self._loop.time()
                 self._body = bytearray()
+                if _head_bytes(event) > self._state.limits.header_bytes:
+                    # h11 bounds only a head that arrives in several pieces.
+                    self._refuse(431, "head over the limit")
+                    return False
                 if _has_two_lengths(event):
                     self._refuse(400, "both a length and chunks")
                     return False
@@ -282,6 +286,13 @@
             self._transport.close()
 
 
+def _head_bytes(request: h11.Request) -> int:
+    """Return the size of a head, without its line ends."""
+    rows = request.headers.raw_items()
+    fields = sum(len(name) + len(value) + 2 for name, value in rows)
+    return len(request.method) + len(request.target) + fields
+
+
 def _has_two_lengths(request: h11.Request) -> bool:
     names = {name for name, _ in request.headers}
     return b"transfer-encoding" in names and b"content-length" in names
--- /dev/null
+++ b/tests/integrations/test_asyncclient.py
@@ -0,0 +1,170 @@
+"""Tests of exchanges on an event loop with servers that misbehave."""
+
+import asyncio
+import contextlib
+import socket
+import unittest
+
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import Incomplete
+from chiverun.core.exchange import Mismatched
+from chiverun.core.exchange import NotSent
+from chiverun.core.exchange import Reset
+from chiverun.core.exchange import TimedOut
+from chiverun.core.exchange import TooLarge
+from chiverun.integrations.asyncclient import ClientConnection
+from chiverun.integrations.asyncclient import connect
+from chiverun.integrations.asyncclient import OutgoingRequest
+
+_LIMIT_S = 20.0
+_HEAD = b"HTTP/1.1 200 OK\r\n"
+_MINE = _HEAD + b"Id: mine\r\n"
+_WHOLE = _MINE + b"Content-Length: 2\r\n\r\nok"
+_OTHER = _HEAD + b"Id: other\r\nContent-Length: 5\r\n\r\nother"
+# Steps of a server that are no bytes to send.
+_RESET = "reset"
+_HOLD = "hold"
+
+# What the server does with a request, how the exchange ends, and whether the
+# connection may be used again.
+_ENDS = {
+    "whole": ([_WHOLE], Answered, True),
+    "bytes behind the response": ([_WHOLE + b"more"], Answered, False),
+    "response of another, then mine": ([_OTHER + _WHOLE], Answered, False),
+    "response of another, then closed": ([_OTHER], Reset, False),
+    "response of another that closes": (
+        [_OTHER.replace(b"Id:", b"Connection: close\r\nId:")],
+        Mismatched,
+        False,
+    ),
+    "cut in the body": (
+        [_MINE + b"Content-Length: 9\r\n\r\nok"],
+        Incomplete,
+        False,
+    ),
+    "reset in the body": (
+        [_MINE + b"Content-Length: 9\r\n\r\nok", _RESET],
+        Incomplete,
+        False,
+    ),
+    "no length, closed": ([_MINE + b"\r\nok"], Answered, False),
+    "no length, reset": ([_MINE + b"\r\nok", _RESET], Incomplete, False),
+    "cut in a chunk": (
+        [_MINE + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab"],
+        Incomplete,
+        False,
+    ),
+    "no response": ([b"\x00\xff\r\n\r\n"], Incomplete, False),
+    "closed without a response": ([], Reset, False),
+    "reset without a response": ([_RESET], Reset, False),
+    "silent": ([_HOLD], TimedOut, False),
+    "silent in the body": (
+        [_MINE + b"Content-Length: 9\r\n\r\nok", _HOLD],
+        TimedOut,
+        False,
+    ),
+    "closes after the response": (
+        [_MINE + b"Connection: close\r\nContent-Length: 2\r\n\r\nok"],
+        Answered,
+        False,
+    ),
+    "too large": (
+        [_MINE + b"Content-Length: 200\r\n\r\n" + b"x" * 200],
+        TooLarge,
+        False,
+    ),
+}
+
+
+class AsyncClientTest(unittest.IsolatedAsyncioTestCase):
+    async def _serve(self, *scripts) -> str:
+        """Answer each connection's requests by its script."""
+        self.closed = asyncio.Event()
+        pending = list(scripts)
+
+        async def handle(reader, writer) -> None:
+            script = pending.pop(0)
+            with contextlib.suppress(ConnectionError):
+                await self._play(script, reader, writer)
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _play(self, script, reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        for step in script:
+            if step == _RESET:
+                await asyncio.sleep(0.05)
+                sock = writer.get_extra_info("socket")
+                linger = b"\1\0\0\0\0\0\0\0"
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            elif step == _HOLD:
+                await reader.read()
+                self.closed.set()
+            else:
+                writer.write(step)
+        if script == [_WHOLE]:
+            # Kept open: the response does not say that it closes.
+            await reader.read()
+
+    async def _connect(self, address: str) -> ClientConnection:
+        connection = await connect(
+            address, timeout_s=_LIMIT_S, body_bytes_max=100
+        )
+        self.addCleanup(connection.abort)
+        return connection
+
+    async def _exchange(self, connection, timeout_s: float = _LIMIT_S):
+        request = OutgoingRequest(
+            method=b"GET",
+            target=b"/a",
+            headers=[(b"Host", b"x")],
+            body=b"",
+            is_mine=lambda rows: ("Id", "mine") in rows,
+        )
+        return await connection.exchange(request, timeout_s)
+
+    async def test_ends(self) -> None:
+        """Guards against a partial or foreign response taken as whole."""
+        for name, (script, kind, reusable) in _ENDS.items():
+            with self.subTest(name):
+                connection = await self._connect(await self._serve(script))
+                timeout_s = 0.3 if _HOLD in script else _LIMIT_S
+                end = await self._exchange(connection, timeout_s)
+                self.assertIsInstance(end, kind)
+                self.assertEqual(reusable, connection.reusable)
+                if isinstance(end, Answered):
+                    self.assertEqual(b"ok", end.body)
+
+    async def test_bytes_while_idle_close_the_connection(self) -> None:
+        """Guards against a late response taken as that of the next one."""
+        connection = await self._connect(
+            await self._serve([_WHOLE, b"", _WHOLE])
+        )
+        self.assertIsInstance(await self._exchange(connection), Answered)
+        while connection.reusable:
+            await asyncio.sleep(0.01)
+        self.assertIsInstance(await self._exchange(connection), NotSent)
+
+    async def test_cancelled_exchange_closes_the_connection(self) -> None:
+        """Guards against a server that works on for a client that left."""
+        connection = await self._connect(await self._serve([_HOLD]))
+        task = asyncio.create_task(self._exchange(connection))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await asyncio.wait_for(self.closed.wait(), _LIMIT_S)
+        self.assertFalse(connection.reusable)
+
+    async def test_refused_connection(self) -> None:
+        """Guards against another error than callers handle."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        with self.assertRaises(OSError):
+            await self._connect(f"127.0.0.1:{port}")
--- /dev/null
+++ b/tests/integrations/test_asyncserver.py
@@ -0,0 +1,138 @@
+"""Tests of the event loop's HTTP server with callers that misbehave."""
+
+import asyncio
+import unittest
+
+from chiverun.core.catalog import ClientLimits
+from chiverun.integrations.asyncserver import IncomingRequest
+from chiverun.integrations.asyncserver import listen
+from chiverun.integrations.asyncserver import OutgoingResponse
+from chiverun.integrations.asyncserver import ServerState
+
+_LIMIT_S = 20.0
+_LIMITS = ClientLimits(
+    header_bytes=1024,
+    body_bytes=100,
+    header_timeout_s=0.3,
+    idle_timeout_s=0.6,
+)
+
+
+class AsyncServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.seen: list[IncomingRequest] = []
+        self.cancelled = asyncio.Event()
+        self.state = ServerState(handler=self._handle, limits=_LIMITS)
+        server = await listen("127.0.0.1:0", self.state)
+        self.addCleanup(server.close)
+        self.address = server.sockets[0].getsockname()
+
+    async def _handle(self, incoming: IncomingRequest) -> OutgoingResponse:
+        self.seen.append(incoming)
+        if incoming.target == "/fails":
+            raise ValueError("test")
+        if incoming.target == "/waits":
+            try:
+                await asyncio.sleep(_LIMIT_S)
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+        body = incoming.target.encode() + incoming.body
+        return OutgoingResponse(status=200, headers=[], body=body)
+
+    async def _send(self, raw: bytes) -> bytes:
+        """Send bytes and read until the server closes the connection."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(raw)
+        try:
+            return await asyncio.wait_for(reader.read(), _LIMIT_S)
+        finally:
+            writer.close()
+
+    async def test_unreadable_requests(self) -> None:
+        """Guards against a request that two readers understand differently.
+
+        What is refused never reaches the handler.
+        """
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+        cases = {
+            "length and chunks": (
+                head + b"Content-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                400,
+            ),
+            "two lengths": (
+                head + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                400,
+            ),
+            "no HTTP": (b"\x00\x01\x02\r\n\r\n", 400),
+            "large head": (head + b"A: " + b"a" * 5000 + b"\r\n\r\n", 431),
+            "large body": (
+                head + b"Content-Length: 101\r\n\r\n" + b"b" * 101,
+                413,
+            ),
+            "half a body": (head + b"Content-Length: 9\r\n\r\nhalf", 408),
+        }
+        for name, (raw, status) in cases.items():
+            with self.subTest(name):
+                answer = await self._send(raw)
+                self.assertEqual(f"{status}".encode(), answer[9:12], answer)
+        self.assertEqual([], self.seen)
+
+    async def test_slow_head_and_idle_connections_are_closed(self) -> None:
+        """Guards against connections that silent callers hold for ever."""
+        loop = asyncio.get_running_loop()
+        for raw in (b"", b"GET /a HT"):
+            began_at = loop.time()
+            self.assertEqual(b"", await self._send(raw))
+            self.assertGreaterEqual(loop.time() - began_at, 0.25)
+        answer = await self._send(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(b"/a", answer[-2:])
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        """Guards against a response that goes to another request."""
+        raw = b"".join(
+            b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % i for i in range(3)
+        )
+        answer = await self._send(raw)
+        places = [answer.index(b"\r\n\r\n/%d" % i) for i in range(3)]
+        self.assertEqual(sorted(places), places)
+
+    async def test_chunked_body_is_read_whole(self) -> None:
+        """Guards against a body that is passed on in part."""
+        answer = await self._send(
+            b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n"
+            b"0\r\n\r\n"
+        )
+        self.assertEqual(b"/abody", answer[-6:])
+
+    async def test_caller_that_leaves_cancels_its_handler(self) -> None:
+        """Guards against work for callers that have gone."""
+        _, writer = await asyncio.open_connection(*self.address)
+        writer.write(b"GET /waits HTTP/1.1\r\nHost: x\r\n\r\n")
+        while not self.seen:
+            await asyncio.sleep(0.01)
+        writer.close()
+        await asyncio.wait_for(self.cancelled.wait(), _LIMIT_S)
+
+    async def test_failed_handler_is_a_500(self) -> None:
+        """Guards against a connection that never gets an answer."""
+        answer = await self._send(
+            b"GET /fails HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        self.assertEqual(b"500", answer[9:12])
+
+    async def test_closing_server_says_so(self) -> None:
+        """Guards against callers that stay on a stopping instance."""
+        self.state.closing = True
+        answer = await self._send(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"Connection: close", answer)
+
+    async def test_head_has_a_length_and_no_body(self) -> None:
+        """Guards against bytes behind the response of a HEAD request."""
+        answer = await self._send(
+            b"HEAD /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        )
+        self.assertIn(b"Content-Length: 2", answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\n"))
