--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,6 +15,7 @@
 import time
 from typing import Any
 
+from chiverun.core.ticketrecords import HEAD_KEY
 from standins import audit
 from standins import deployment
 from standins.cluster import Cluster
@@ -22,6 +23,8 @@
 from standins.cluster import source_program
 
 IN_FORCE_LIMIT_MS = 3000
+# A ticket that is not in force after so long is given up.
+IN_FORCE_WAIT_S = 30.0
 CALLERS_PER_REGION = 16
 RATE_PER_CALLER = 4.0
 SHIFT_CAP_PER_S = 20
@@ -49,10 +52,9 @@
     def submit(self, ticket: str, number: int) -> None:
         """Submit a ticket and wait until every live instance has it.
 
-        The time counts from before the operators' command was started, so
-        it is an upper bound.
+        The time counts from the store's acceptance of the ticket; how long
+        the operators' command takes to start is no part of it.
         """
-        started = time.monotonic()
         code, output = self._cluster.submit(ticket)
         if code != 0:
             raise RuntimeError(f"{ticket}: {output}")
@@ -61,13 +63,19 @@
             for i in deployment.instances(self._cluster.spec)
             if i.name in self._cluster.processes
         ]
+        accepted_at = self._accepted_at()
         while not all(self._has(name, number) for name in names):
-            if time.monotonic() - started > 30:
+            if time.monotonic() - accepted_at > IN_FORCE_WAIT_S:
                 break
             time.sleep(0.02)
-        taken_ms = (time.monotonic() - started) * 1000
+        taken_ms = (time.monotonic() - accepted_at) * 1000
         self.worst_ms = max(self.worst_ms, taken_ms)
 
+    def _accepted_at(self) -> float:
+        store = self._cluster.local(deployment.STORE)
+        written = self._cluster.get_json(f"http://{store}/admin/written")
+        return written[HEAD_KEY]
+
     def _has(self, name: str, number: int) -> bool:
         status = self._cluster.status(name)
         return status is not None and status["number"] >= number
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -38,6 +38,9 @@
     def __init__(self, *, lag_s: float = 5.0) -> None:
         self.changed = threading.Condition()
         self.data: dict[str, tuple[bytes, int]] = {}
+        # Monotonic time of each key's last write, the same in all processes
+        # of a machine.
+        self.written_at: dict[str, float] = {}
         self.index = 10
         self.saved: tuple[dict, int] | None = None
         self.outage = False
@@ -72,6 +75,7 @@
                 return False
             self.index += 1
             self.data[key] = (value, self.index)
+            self.written_at[key] = time.monotonic()
             self.changed.notify_all()
             return True
 
@@ -140,6 +144,9 @@
             if self.path == "/admin/calls":
                 self.reply_json(dict(platform.calls))
                 return
+            if self.path == "/admin/written":
+                self.reply_json(dict(platform.written_at))
+                return
             begun = self._begin()
             if begun is None:
                 return
--- /dev/null
+++ b/tests/proofs/test_demo.py
@@ -0,0 +1,56 @@
+"""Tests of how the demonstration measures."""
+
+import unittest
+from unittest import mock
+
+from chiverun.core.clock import ManualClock
+from chiverun.core.ticketrecords import HEAD_KEY
+from standins import demo
+from standins import deployment
+
+_COMMAND_S = 6.0
+_SPREAD_S = 0.4
+
+
+class _Cluster:
+    """A cluster whose operators' command takes long to start."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.spec = deployment.SPECS["inzira"]
+        self.processes = {
+            i.name: None for i in deployment.instances(self.spec)
+        }
+        self._clock = clock
+        self._accepted_at = 0.0
+
+    def submit(self, _ticket: str) -> tuple[int, str]:
+        self._clock.advance(_COMMAND_S)
+        self._accepted_at = self._clock.monotonic()
+        return 0, ""
+
+    def local(self, address: str) -> str:
+        return address
+
+    def get_json(self, _url: str) -> dict[str, float]:
+        return {HEAD_KEY: self._accepted_at}
+
+    def status(self, name: str) -> dict[str, int]:
+        passed_s = self._clock.monotonic() - self._accepted_at
+        is_last = name == max(self.processes)
+        return {"number": int(passed_s >= (_SPREAD_S if is_last else 0.0))}
+
+
+class InForceClockTest(unittest.TestCase):
+    def test_time_counts_from_the_acceptance(self) -> None:
+        """Guards against a slow start of a command told as a slow spread.
+
+        Beside other load the command took 0.9 to 2.2 s of a figure of 1.8
+        to 2.3 s, and the step failed with 3,971 and 6,233 ms.
+        """
+        clock = ManualClock()
+        in_force = demo.InForceClock(cluster=_Cluster(clock))
+        with mock.patch.object(demo, "time") as time:
+            time.monotonic.side_effect = clock.monotonic
+            time.sleep.side_effect = clock.advance
+            in_force.submit("0001.toml", 1)
+        self.assertAlmostEqual(1000 * _SPREAD_S, in_force.worst_ms, delta=25)
