Read a desired state part by part

Cause: one unknown value (the route kind upload) made the decoder refuse the whole desired state, so no machine became ready and no request was served.

Change: a value that cannot be read affects its route, service or limit only. An unknown kind is not repeatable; a route without a readable target is rejected with 503 and code 115 (ROUTE_UNREADABLE); one whose host or prefix is unknown covers what no other route covers, so that no 404 is given for it; unknown limits of a service are low ones. One log line and a counter name each part. upload is known and not repeatable.

--- a/chiverun/core/catalog.py
+++ b/chiverun/core/catalog.py
@@ -40,7 +40,9 @@
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Handling of the requests of one host and path prefix.
 
-    `homes` are the regions that may serve the route; empty means all.
+    `homes` are the regions that may serve the route; empty means all. A route
+    with a `fault` cannot be served as the operators want it: its requests are
+    rejected until a readable one is in force.
     """
 
     name: str
@@ -54,16 +56,21 @@
     priority: int
     sticky: bool
     homes: tuple[RegionName, ...]
+    fault: str | None = None
 
 
 class ServiceSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """Health check, connection limit and cold-start limits of servers."""
+    """Health check, connection limit and cold-start limits of servers.
+
+    The defaults apply where a limit is unknown. They are low, since a server
+    can crash above its limits.
+    """
 
     name: ServiceName
-    health_path: str
-    connections_max: int
-    cold_s: float
-    cold_per_s: float
+    health_path: str = "/health"
+    connections_max: int = 64
+    cold_s: float = 10.0
+    cold_per_s: float = 1.0
 
 
 class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,13 +82,24 @@
     idle_timeout_s: float = 15.0
 
 
+class StateFault(msgspec.Struct, frozen=True, kw_only=True):
+    """A part of a desired state that this version cannot read."""
+
+    place: str
+    reason: str
+
+
 class DesiredState(msgspec.Struct, frozen=True, kw_only=True, tag="state"):
-    """The operators' complete configuration."""
+    """The operators' complete configuration.
+
+    `faults` are its unreadable parts; the rest is in force.
+    """
 
     version: StateVersion
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
     limits: ClientLimits
+    faults: tuple[StateFault, ...] = ()
 
 
 class Server(msgspec.Struct, frozen=True, kw_only=True, tag="server"):
@@ -135,8 +153,17 @@
         )
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route of `host` with the longest prefix of `path`."""
-        for route in self.by_host.get(host.lower(), ()):
-            if path.startswith(route.prefix):
-                return route
+        """Return the route of `host` with the longest prefix of `path`.
+
+        A route whose host or prefix is unknown has an empty one, and may be
+        the route of each request that no other route covers.
+        """
+        for name in (host.lower(), ""):
+            for route in self.by_host.get(name, ()):
+                if path.startswith(route.prefix):
+                    return route
         return None
+
+    def service(self, name: ServiceName) -> ServiceSpec:
+        """Return the limits of a service, low ones if it is unknown."""
+        return self.services.get(name) or ServiceSpec(name=name)
--- a/chiverun/core/exchange.py
+++ b/chiverun/core/exchange.py
@@ -9,6 +9,8 @@
 
 # Request header sent to a peer, which returns it with every response.
 EXCHANGE_HEADER = "X-Chiverun-Exchange"
+# Result code of a response to a caller or a peer.
+CODE_HEADER = "X-Chiverun-Code"
 
 
 class ShedReason(enum.Enum):
--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -22,6 +22,7 @@
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
+from chiverun.core.exchange import CODE_HEADER
 from chiverun.core.exchange import EXCHANGE_HEADER
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Incomplete
@@ -400,7 +401,7 @@
 
 def _result_code(resp: urllib3.BaseHTTPResponse) -> ResultCode:
     try:
-        return ResultCode(int(resp.headers.get("X-Chiverun-Code", "")))
+        return ResultCode(int(resp.headers.get(CODE_HEADER, "")))
     except ValueError:
         return ResultCode.INTERNAL
 
--- a/chiverun/integrations/web.py
+++ b/chiverun/integrations/web.py
@@ -21,6 +21,7 @@
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
+from chiverun.core.exchange import CODE_HEADER
 from chiverun.core.exchange import EXCHANGE_HEADER
 from chiverun.core.ids import Address
 from chiverun.integrations.network import split_address
@@ -106,7 +107,7 @@
         headers=(
             ("Content-Type", "application/json"),
             ("X-Chiverun-Outcome", outcome.value),
-            ("X-Chiverun-Code", str(int(code))),
+            (CODE_HEADER, str(int(code))),
         ),
         body=msgspec.json.encode(
             {
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import RouteTable
 from chiverun.core.edgesettings import EdgeSettings
@@ -275,9 +276,22 @@
             _LOG.info(
                 "desired state in force", extra={"version": state.version}
             )
+            self._report_faults(state)
         self._servers.sync(
             self.follower.replica,
             routes,
             dict(self.cfg.regions),
             self._loop.time(),
         )
+
+    def _report_faults(self, state: DesiredState) -> None:
+        self.metrics.state_faults.add(len(state.faults))
+        for fault in state.faults:
+            _LOG.warning(
+                "part of the desired state cannot be read",
+                extra={
+                    "version": state.version,
+                    "place": fault.place,
+                    "reason": fault.reason,
+                },
+            )
--- a/chiverun/runtime/edgemetrics.py
+++ b/chiverun/runtime/edgemetrics.py
@@ -48,6 +48,8 @@
             "chiverun.sends.budget_refused"
         )
 
+        self.state_faults = meter.create_counter("chiverun.state.faults")
+
     def record_request(self, status: int, seconds: float) -> None:
         """Count a completed request and record its latency."""
         self._requests.add(1, {"status": str(status)})
--- a/chiverun/runtime/forward.py
+++ b/chiverun/runtime/forward.py
@@ -14,6 +14,7 @@
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import classify
+from chiverun.core.exchange import CODE_HEADER
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import PeerRefused
 from chiverun.core.ids import RegionName
@@ -220,7 +221,7 @@
             headers=(
                 *end.headers,
                 ("X-Chiverun-Outcome", classified.outcome.value),
-                ("X-Chiverun-Code", str(int(classified.code))),
+                (CODE_HEADER, str(int(classified.code))),
             ),
             body=end.body,
         )
--- a/chiverun/runtime/results.py
+++ b/chiverun/runtime/results.py
@@ -6,6 +6,7 @@
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import classify
+from chiverun.core.exchange import CODE_HEADER
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.idempotency import StoredResult
 from chiverun.core.ids import IdempotencyKey
@@ -57,7 +58,7 @@
         headers=(
             *result.headers,
             ("X-Chiverun-Outcome", result.outcome.value),
-            ("X-Chiverun-Code", str(int(result.code))),
+            (CODE_HEADER, str(int(result.code))),
         ),
         body=result.body,
     )
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -128,10 +128,10 @@
             cold_left_s = server.cold_left_s - (now - changed_at)
             row.cold_until = max(row.cold_until, now + cold_left_s)
             row.is_evacuated = server.zone in evacuated
-            spec = routes.services.get(server.service)
-            if server.zone in returned and spec is not None:
+            if server.zone in returned:
                 # Its cache may have gone cold while it got no requests.
-                row.cold_until = max(row.cold_until, now + spec.cold_s)
+                cold_s = routes.service(server.service).cold_s
+                row.cold_until = max(row.cold_until, now + cold_s)
         for name in self.rows.keys() - seen:
             self.rows.pop(name).close_idle()
         self.by_service = {}
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -9,7 +9,9 @@
 from chiverun.core.catalog import Route
 from chiverun.core.catalog import RouteTable
 from chiverun.core.edgesettings import EdgeBounds
+from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
+from chiverun.core.exchange import CODE_HEADER
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
@@ -143,6 +145,8 @@
         if route is None:
             self._log(metadata, 404, "no route", version=self.routes.version)
             return OutgoingResponse(status=404, headers=[])
+        if route.fault is not None:
+            return self._reject_unreadable(metadata, route)
         if stopping and may_outlast(stopping, route, self._typical_s(route)):
             return self._reject(metadata, "stopping")
         request = self._new_request(incoming, metadata, route)
@@ -238,7 +242,7 @@
 
     def _start_send(self, request: Request) -> bool:
         now = self._loop.time()
-        spec = self.routes.services.get(request.service)
+        spec = self.routes.service(request.service)
         row = self._selector.choose(
             request.placement, spec, request.tried, now
         )
@@ -359,6 +363,15 @@
             status=503, headers=[("Retry-After", f"{retry_s:.3g}")]
         )
 
+    def _reject_unreadable(
+        self, metadata: RequestMetadata, route: Route
+    ) -> OutgoingResponse:
+        response = self._reject(metadata, "route cannot be read")
+        code = str(int(ResultCode.ROUTE_UNREADABLE))
+        return dataclasses.replace(
+            response, headers=[*response.headers, (CODE_HEADER, code)]
+        )
+
     def _budget(self, service: ServiceName) -> SendBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/tests/adapter/test_edge.py
+++ b/tests/adapter/test_edge.py
@@ -184,6 +184,24 @@
         self.assertEqual(response.status, 503)
         self.assertFalse(await self._is_ready())
 
+    async def test_unreadable_route_affects_no_other(self) -> None:
+        """Guards against one unknown value that stops all service."""
+        body = desired_state()
+        rules = body["listeners"][0]["rules"]
+        rules[0]["action"] = {"redirect": "/elsewhere/"}
+        rules[1]["kind"] = "kind-of-a-later-version"
+        await self._write_store()
+        await self.store.put("op/config", json.dumps(body).encode())
+        await self._start()
+        await self._wait_until(self._is_ready, "ready")
+        booked = await call(
+            self.listen["front"], build_request("/book/1", "f1", method="POST")
+        )
+        self.assertEqual((booked.status, self._run_count("f1")), (503, 0))
+        self.assertIn("X-Chiverun-Code: 115", booked.head)
+        read = await call(self.listen["front"], build_request("/read/1", "f2"))
+        self.assertEqual((read.status, self._run_count("f2")), (200, 1))
+
     async def test_draining_servers_get_no_requests(self) -> None:
         """Guards against requests to draining servers or unknown routes."""
         await self._start_until_ready()
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -5,6 +5,8 @@
 
 from nose2.tools import params
 
+from chiverun.core.catalog import DesiredState
+from chiverun.core.catalog import RouteTable
 from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
 from chiverun.core.errors import ChiverunError
@@ -72,6 +74,134 @@
         self.assertEqual(weights, [90.0, 10.0])
         self.assertEqual(state.services[0].cold_per_s, 5.8)
 
+    def _decode(self, body: dict) -> DesiredState:
+        record = decode_record("op/config", json.dumps(body).encode())
+        self.assertIsInstance(record, DesiredState, record)
+        return record
+
+    @params(
+        ("upload", False),
+        ("safe", True),
+        ("unsafe", False),
+        ("stream-of-2030", False),
+        (7, False),
+        (None, False),
+    )
+    def test_kind(self, kind, repeatable):
+        """Guards against one unknown kind that takes all routes away.
+
+        An unknown kind is served, but sent to a second server only with
+        proof that the first has not run it.
+        """
+        body = desired_state()
+        body["listeners"][0]["rules"][1]["kind"] = kind
+        state = self._decode(body)
+        route = RouteTable.of(state).find("mill.example", "/read/a")
+        self.assertEqual((repeatable, None), (route.repeatable, route.fault))
+        is_known = kind in ("upload", "safe", "unsafe")
+        self.assertEqual(is_known, not state.faults)
+
+    @params(
+        ("timeout", None),
+        ("timeout", "soon"),
+        ("maxAttempts", 0),
+        ("service", None),
+        ("service", ["works"]),
+        ("homeRegions", 3),
+        ("split", [{"service": "works"}]),
+        ("split", "works"),
+    )
+    def test_unreadable_action_affects_one_route(self, name, value):
+        """Guards against one unreadable route that takes all away."""
+        body = desired_state(**{name: value})
+        state = self._decode(body)
+        table = RouteTable.of(state)
+        self.assertIn(name, table.find("mill.example", "/book/1").fault)
+        self.assertIsNone(table.find("mill.example", "/read/1").fault)
+        self.assertEqual(1, len(state.faults))
+        self.assertIn("r-1", state.faults[0].place)
+
+    @params(
+        {"match": {"prefix": None}},
+        {"match": {"regex": "/book/.*"}},
+        {"match": "/book/"},
+        {"action": None},
+        {"targetLatency": "fast"},
+        {"priority": "high"},
+        {"name": 5},
+    )
+    def test_unreadable_rule_affects_one_route(self, changes):
+        """Guards against a 404 for a route that exists but is unreadable."""
+        body = desired_state()
+        body["listeners"][0]["rules"][0].update(changes)
+        state = self._decode(body)
+        table = RouteTable.of(state)
+        self.assertIsNone(table.find("mill.example", "/read/1").fault)
+        found = table.find("mill.example", "/book/1")
+        self.assertIsNotNone(found)
+        has_default = "priority" in changes or "name" in changes
+        self.assertEqual(has_default, found.fault is None)
+        self.assertEqual(1, len(state.faults))
+
+    @params(
+        7, None, "x", {"rules": []}, {"host": 3, "rules": []}, {"host": "a"}
+    )
+    def test_unreadable_listener_affects_no_other(self, listener):
+        """Guards against one unreadable host that takes all away."""
+        body = desired_state()
+        body["listeners"].append(listener)
+        state = self._decode(body)
+        table = RouteTable.of(state)
+        self.assertIsNone(table.find("mill.example", "/read/1").fault)
+        # The unreadable host may be any host.
+        self.assertIsNotNone(table.find("a", "/").fault)
+        self.assertEqual(1, len(state.faults))
+
+    @params(
+        ("maxConns", None),
+        ("coldStart", 3),
+        ("coldPerS", "many"),
+        ("healthPath", None),
+    )
+    def test_unreadable_service_is_limited_more_strictly(self, name, value):
+        """Guards against servers without limits after an unknown value."""
+        body = desired_state()
+        body["clusters"][0][name] = value
+        state = self._decode(body)
+        spec = RouteTable.of(state).service("works")
+        self.assertLessEqual(spec.connections_max, 330)
+        self.assertGreaterEqual(spec.cold_s, 3.0)
+        self.assertLessEqual(spec.cold_per_s, 5.8)
+        self.assertIn("works", state.faults[0].place)
+
+    @params(7, None, {}, {"name": None})
+    def test_unreadable_service_row_affects_no_other(self, row):
+        """Guards against one unreadable service that takes all away."""
+        body = desired_state()
+        body["clusters"].append(row)
+        state = self._decode(body)
+        table = RouteTable.of(state)
+        self.assertEqual(330, table.service("works").connections_max)
+        self.assertLess(table.service("other").connections_max, 330)
+        self.assertEqual(1, len(state.faults))
+
+    @params("maxHeaderBytes", "maxBodyBytes", "headerTimeout", "idleTimeout")
+    def test_unreadable_limit_has_a_default(self, name):
+        """Guards against one unknown limit that takes all routes away."""
+        body = desired_state()
+        body["limits"][name] = "unlimited"
+        state = self._decode(body)
+        self.assertEqual(2, len(state.routes))
+        self.assertIn(name, state.faults[0].reason)
+
+    def test_new_fields_are_ignored(self):
+        """Guards against refusing a state of a newer platform."""
+        body = desired_state(mirror={"service": "x"})
+        body["listeners"][0]["rules"][0]["shape"] = [1]
+        body["clusters"][0]["zones"] = {}
+        body["layers"] = 3
+        self.assertEqual((), self._decode(body).faults)
+
     @params(
         ("version", "7"),
         ("listeners", {}),
