--- a/chiverun/cli.py
+++ b/chiverun/cli.py
@@ -12,10 +12,8 @@
 
 import fire
 import msgspec
-import urllib3
 from fire.core import FireExit
 from fire.decorators import SetParseFn
-from urllib3.exceptions import HTTPError
 
 from chiverun.core.blocks import Blocks
 from chiverun.core.errors import ChiverunError
@@ -30,12 +28,17 @@
 from chiverun.core.ticketconflict import ReportedState
 from chiverun.core.ticketentry import Entry
 from chiverun.core.ticketlog import TicketLog
+from chiverun.integrations.boundedclient import BoundedClient
+from chiverun.integrations.boundedclient import CallFailed
+from chiverun.integrations.boundedclient import CallNotSent
 from chiverun.integrations.interfaces import StoreUnavailable
-from chiverun.integrations.network import split_address
 from chiverun.integrations.store import HttpStore
 from chiverun.runtime.status import Status
 
 _STATUS_TIMEOUT_S = 2.0
+_STATUS_BYTES_MAX = 4 * 1024 * 1024
+# One late response must not fail an operator's command.
+_STORE_READ_ATTEMPTS = 3
 _STATUS_THREADS = 16
 _LOG_COUNT = 20
 _LOG_COUNT_MAX = 1000
@@ -264,7 +267,9 @@
     cfg = read_operator_settings(settings)
     return TicketLog(
         store=HttpStore(
-            address=cfg.store, timeout_s=cfg.store_timeout_ms / 1000.0
+            address=cfg.store,
+            timeout_s=cfg.store_timeout_ms / 1000.0,
+            read_attempts=_STORE_READ_ATTEMPTS,
         )
     )
 
@@ -279,15 +284,14 @@
 
 
 def _fetch_status(address: str) -> Status | None:
-    host, port = split_address(address)
-    with urllib3.HTTPConnectionPool(
-        host, port, timeout=_STATUS_TIMEOUT_S, retries=False
-    ) as pool:
-        try:
-            resp = pool.urlopen("GET", "/v1/status", retries=False)
-            return msgspec.json.decode(resp.data, type=Status)
-        except (HTTPError, msgspec.DecodeError, ValueError):
-            return None
+    client = BoundedClient(
+        address=address, body_bytes_max=_STATUS_BYTES_MAX, connections=0
+    )
+    try:
+        resp = client.call("GET", "/v1/status", timeout_s=_STATUS_TIMEOUT_S)
+        return msgspec.json.decode(resp.body, type=Status)
+    except (CallNotSent, CallFailed, msgspec.MsgspecError, ValueError):
+        return None
 
 
 def _fetch_statuses(cfg: OperatorSettings) -> dict[str, Status | None]:
--- a/chiverun/core/edgesettings.py
+++ b/chiverun/core/edgesettings.py
@@ -41,3 +41,5 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: EdgeBounds
+    # Memory that the process may use, None if unknown.
+    memory_bytes: int | None = None
--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Incomplete
@@ -25,6 +26,15 @@
 # The connection fails if the peer acknowledges no data for this long.
 PEER_TIMEOUT_MS = 2000
 HEADER_BYTES_MAX = 64 * 1024
+# A body up to this size is sent together with the head, in one packet or a
+# few.
+JOINED_BODY_BYTES_MAX = 16 * 1024
+# Limits of what a server may send around a response: interim responses,
+# responses to other requests, and bytes of framing (a chunk of one byte takes
+# six).
+INTERIM_RESPONSES_MAX = 8
+SKIPPED_RESPONSES_MAX = 4
+FRAMING_FACTOR = 6
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -50,8 +60,12 @@
     `reusable` is False once the connection must not carry another exchange.
     """
 
-    def __init__(self, *, body_bytes_max: int) -> None:
+    def __init__(
+        self, *, body_bytes_max: int, memory: ByteBudget | None = None
+    ) -> None:
         self._body_bytes_max = body_bytes_max
+        self._bytes_max = FRAMING_FACTOR * body_bytes_max + HEADER_BYTES_MAX
+        self._held = (memory or ByteBudget()).hold(self._drop_body)
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEADER_BYTES_MAX
@@ -60,7 +74,10 @@
         self._request: OutgoingRequest | None = None
         self._response: h11.Response | None = None
         self._body = bytearray()
-        self._skipped: list[str] = []
+        # Received in this exchange.
+        self._received_bytes = 0
+        self._interim_responses = 0
+        self._skipped_responses = 0
         self.reusable = True
         self.exchanges = 0
         self.idle_since = 0.0
@@ -111,10 +128,13 @@
         self._request = request
         self._response = None
         self._body = bytearray()
-        self._skipped = []
+        self._received_bytes = 0
+        self._interim_responses = 0
+        self._skipped_responses = 0
         self._waiter = asyncio.get_running_loop().create_future()
         try:
-            self._transport.write(self._encode_request(request))
+            for piece in self._encode_request(request):
+                self._transport.write(piece)
             # wait_for would lose a cancellation that coincides with the
             # response.
             async with asyncio.timeout(timeout_s):
@@ -127,10 +147,12 @@
             raise
         finally:
             self._waiter = None
+            self._held.release()
             if self.reusable and self._has_pending_bytes():
                 self.abort()
 
-    def _encode_request(self, request: OutgoingRequest) -> bytes:
+    def _encode_request(self, request: OutgoingRequest) -> list[bytes]:
+        """Return the request in pieces; a large body is not copied."""
         head = self._http.send(
             h11.Request(
                 method=request.method,
@@ -138,11 +160,14 @@
                 headers=request.headers,
             )
         )
-        body = b""
-        if request.body:
-            body = self._http.send(h11.Data(data=request.body)) or b""
-        end = self._http.send(h11.EndOfMessage()) or b""
-        return (head or b"") + body + end
+        body = self._http.send_with_data_passthrough(
+            h11.Data(data=request.body)
+        )
+        end = self._http.send(h11.EndOfMessage())
+        pieces = [head or b"", *body, end or b""]
+        if len(request.body) <= JOINED_BODY_BYTES_MAX:
+            pieces = [b"".join(pieces)]
+        return [piece for piece in pieces if piece]
 
     def _has_pending_bytes(self) -> bool:
         """Return whether bytes of this exchange are unsent or unread."""
@@ -155,6 +180,10 @@
         )
 
     def _process_events(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        if self._received_bytes > self._bytes_max:
+            self._give_up(TooLarge(limit=self._body_bytes_max))
+            return
         try:
             self._http.receive_data(data)
             while (event := self._http.next_event()) is not h11.NEED_DATA:
@@ -169,20 +198,38 @@
 
     def _handle_event(self, event: h11.Event | type[h11.PAUSED]) -> bool:
         match event:
+            case h11.InformationalResponse():
+                self._interim_responses += 1
+                if self._interim_responses > INTERIM_RESPONSES_MAX:
+                    self._give_up(Incomplete(detail="interim responses only"))
+                    return False
             case h11.Response():
                 self._response = event
             case h11.Data():
-                self._body += event.data
-                if len(self._body) > self._body_bytes_max:
-                    self.abort()
-                    self._set_result(TooLarge(limit=self._body_bytes_max))
-                    return False
+                return self._add_to_body(event.data)
             case h11.EndOfMessage():
                 return self._complete_response()
             case h11.ConnectionClosed() | h11.PAUSED:
                 return False
         return True
 
+    def _add_to_body(self, data: bytes) -> bool:
+        self._body += data
+        if len(self._body) > self._body_bytes_max:
+            self._give_up(TooLarge(limit=self._body_bytes_max))
+            return False
+        self._held.grow(len(data))
+        return not self._waiter.done()
+
+    def _drop_body(self) -> None:
+        """Give up the response, the largest held, for lack of memory."""
+        self._give_up(TooLarge(limit=len(self._body)))
+
+    def _give_up(self, end: ExchangeEnd) -> None:
+        self.abort()
+        self._body = bytearray()
+        self._set_result(end)
+
     def _complete_response(self) -> bool:
         response = self._response
         headers = [
@@ -208,7 +255,11 @@
         Return False if no further response can follow.
         """
         self.reusable = False
-        can_follow = self._http.their_state is h11.DONE
+        self._skipped_responses += 1
+        can_follow = (
+            self._http.their_state is h11.DONE
+            and self._skipped_responses <= SKIPPED_RESPONSES_MAX
+        )
         trailing, is_closed = self._http.trailing_data
         if not can_follow or (is_closed and not trailing):
             self.abort()
@@ -220,6 +271,7 @@
         self._encode_request(self._request)
         self._response = None
         self._body = bytearray()
+        self._held.release()
         if trailing:
             self._http.receive_data(trailing)
         return True
@@ -230,7 +282,11 @@
 
 
 async def connect(
-    address: Address, *, timeout_s: float, body_bytes_max: int
+    address: Address,
+    *,
+    timeout_s: float,
+    body_bytes_max: int,
+    memory: ByteBudget | None = None,
 ) -> ClientConnection:
     """Open a connection.
 
@@ -243,7 +299,9 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         _, connection = await loop.create_connection(
-            lambda: ClientConnection(body_bytes_max=body_bytes_max),
+            lambda: ClientConnection(
+                body_bytes_max=body_bytes_max, memory=memory
+            ),
             host,
             port,
         )
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -1,7 +1,8 @@
 """Asynchronous HTTP/1.1 server, framed by h11.
 
-A request is read completely before it is handled and occupies no thread
-while it is handled. The handler is cancelled when the caller disconnects.
+A request is read completely before it is handled, so that a slow caller
+occupies no server, and it occupies no thread while it is handled. The handler
+is cancelled when the caller disconnects.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import h11
 import logbook
 
+from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.catalog import ClientLimits
 from chiverun.core.ids import Address
 from chiverun.integrations.network import split_address
@@ -25,6 +27,17 @@
 # Limit of pipelined bytes that are buffered while a request is handled.
 _PIPELINED_BYTES_MAX = 64 * 1024
 
+# A body that takes longer is refused, also if a few bytes keep arriving.
+BODY_TIMEOUT_S = 60.0
+# After a refusal the rest of the request is read and discarded for this long
+# and up to this size: closing with unread bytes would reset the connection,
+# and the caller could lose the response.
+LINGER_S = 1.0
+LINGER_BYTES_MAX = 1024 * 1024
+
+# Retry-After of a request that was refused for lack of memory.
+MEMORY_RETRY_AFTER_S = 1.0
+
 # Statuses whose responses have neither a body nor a Content-Length.
 _BODILESS_STATUSES = (204, 304)
 
@@ -65,6 +78,7 @@
 
     handler: Handler
     limits: ClientLimits = dataclasses.field(default_factory=ClientLimits)
+    memory: ByteBudget = dataclasses.field(default_factory=ByteBudget)
     closing: bool = False
     connections: set["ServerConnection"] = dataclasses.field(
         default_factory=set
@@ -93,11 +107,20 @@
         self._timer: asyncio.TimerHandle | None = None
         self._pipelined_bytes = 0
         self._is_reading_head = False
+        self._is_writable = True
+        # Bytes that may still be discarded, None before a refusal.
+        self._linger_bytes: int | None = None
+        self._body_deadline = 0.0
+        self._held = state.memory.hold(self._drop_body)
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or handled."""
-        return self._task is not None or self._request is not None
+        return (
+            self._task is not None
+            or self._request is not None
+            or self._is_reading_head
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -109,14 +132,29 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._state.connections.discard(self)
         self._clear_timer()
+        self._held.release()
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        # The caller does not read its responses: take no further request.
+        self._is_writable = False
+        self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        self._is_writable = True
+        self._transport.resume_reading()
+        if self._linger_bytes is None:
+            self._process_events()
+
     def eof_received(self) -> bool:
         # A half-closed connection counts as closed by the caller.
         return False
 
     def data_received(self, data: bytes) -> None:
+        if self._linger_bytes is not None:
+            self._discard(len(data))
+            return
         if self._task is not None:
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes > _PIPELINED_BYTES_MAX:
@@ -137,7 +175,7 @@
 
     def _process_events(self) -> None:
         try:
-            while self._task is None:
+            while self._task is None and self._is_writable:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
@@ -153,23 +191,9 @@
     def _handle_event(self, event: h11.Event) -> bool:
         match event:
             case h11.Request():
-                self._request = event
-                self._is_reading_head = False
-                self._arrived_at = self._loop.time()
-                self._body = bytearray()
-                if _head_bytes(event) > self._state.limits.header_bytes:
-                    # h11 limits only a head that arrives in several pieces.
-                    self._reject(431, "head over the limit")
-                    return False
-                if _has_ambiguous_length(event):
-                    self._reject(400, "both a length and chunks")
-                    return False
+                return self._start_request(event)
             case h11.Data():
-                self._body += event.data
-                if len(self._body) > self._state.limits.body_bytes:
-                    self._reject(413, "body over the limit")
-                    return False
-                self._set_timer(self._state.limits.header_timeout_s)
+                return self._add_to_body(event.data)
             case h11.EndOfMessage():
                 self._clear_timer()
                 self._start_handler()
@@ -178,6 +202,46 @@
                 return False
         return True
 
+    def _start_request(self, request: h11.Request) -> bool:
+        """Check a head; return whether its body is to be read."""
+        self._request = request
+        self._is_reading_head = False
+        self._arrived_at = self._loop.time()
+        self._body_deadline = self._arrived_at + BODY_TIMEOUT_S
+        self._body = bytearray()
+        limits = self._state.limits
+        length = _content_length(request)
+        if _head_bytes(request) > limits.header_bytes:
+            # h11 limits only a head that arrives in several pieces.
+            self._reject(431, "head over the limit")
+        elif _has_ambiguous_length(request):
+            self._reject(400, "both a length and chunks")
+        elif length > limits.body_bytes:
+            self._reject(413, "body over the limit")
+        elif not self._state.memory.has_room(length):
+            self._reject(503, "no memory for the body")
+        else:
+            return True
+        return False
+
+    def _add_to_body(self, data: bytes) -> bool:
+        self._body += data
+        if len(self._body) > self._state.limits.body_bytes:
+            self._reject(413, "body over the limit")
+            return False
+        self._held.grow(len(data))
+        if self._linger_bytes is not None:
+            return False
+        left_s = self._body_deadline - self._loop.time()
+        self._set_timer(
+            max(0.0, min(self._state.limits.header_timeout_s, left_s))
+        )
+        return True
+
+    def _drop_body(self) -> None:
+        """Give up the body, the largest that is held, for lack of memory."""
+        self._reject(503, "no memory for the body")
+
     def _start_handler(self) -> None:
         request = IncomingRequest(
             method=self._request.method.decode("ascii"),
@@ -190,6 +254,7 @@
             arrived_at=self._arrived_at,
         )
         self._body = bytearray()
+        self._held.pin()
         self._pipelined_bytes = 0
         self._state.last_request_at = self._arrived_at
         self._task = self._loop.create_task(self._serve(request))
@@ -206,6 +271,7 @@
             )
             response = OutgoingResponse(status=500, headers=[])
         self._task = None
+        self._held.release()
         if self._transport.is_closing():
             return
         self._respond(request, response)
@@ -225,7 +291,7 @@
                 h11.Response(status_code=response.status, headers=headers)
             )
             if body:
-                self._write(h11.Data(data=body))
+                self._write_body(body)
             self._write(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             _LOG.error(
@@ -254,25 +320,46 @@
             "request refused", extra={"status": status, "reason": reason}
         )
         self._clear_timer()
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = reason.encode()
-            self._write(
-                h11.Response(
-                    status_code=status,
-                    headers=[
-                        ("Content-Length", str(len(body))),
-                        ("Connection", "close"),
-                    ],
-                )
-            )
-            self._write(h11.Data(data=body))
-        self._transport.close()
+        self._held.release()
+        self._body = bytearray()
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._transport.close()
+            return
+        body = reason.encode()
+        headers = [
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
+        if status == 503:
+            headers.append(("Retry-After", f"{MEMORY_RETRY_AFTER_S:g}"))
+        self._write(h11.Response(status_code=status, headers=headers))
+        self._write(h11.Data(data=body))
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close for writing, and discard what the caller still sends."""
+        self._linger_bytes = LINGER_BYTES_MAX
+        if not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        self._set_timer(LINGER_S)
+
+    def _discard(self, count: int) -> None:
+        self._linger_bytes -= count
+        if self._linger_bytes < 0:
+            self._transport.close()
 
     def _write(self, event: h11.Event) -> None:
         data = self._http.send(event)
         if data:
             self._transport.write(data)
 
+    def _write_body(self, body: bytes) -> None:
+        pieces = self._http.send_with_data_passthrough(h11.Data(data=body))
+        for piece in pieces:
+            self._transport.write(piece)
+
     def _set_timer(self, timeout_s: float) -> None:
         self._clear_timer()
         self._timer = self._loop.call_later(timeout_s, self._on_timeout)
@@ -283,7 +370,7 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._request is not None:
+        if self._request is not None and self._linger_bytes is None:
             self._reject(408, "request was not complete in time")
         else:
             self._transport.close()
@@ -296,6 +383,12 @@
     return len(request.method) + len(request.target) + fields
 
 
+def _content_length(request: h11.Request) -> int:
+    """Return the length of the body, 0 if it is sent in chunks."""
+    lengths = [v for name, v in request.headers if name == b"content-length"]
+    return int(lengths[0]) if lengths else 0
+
+
 def _has_ambiguous_length(request: h11.Request) -> bool:
     names = {name for name, _ in request.headers}
     return b"transfer-encoding" in names and b"content-length" in names
--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -8,13 +8,10 @@
 
 import dataclasses
 import http.client
-import io
-import socket
 import threading
 from collections.abc import Mapping
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import ReadTimeoutError
 
@@ -37,11 +34,11 @@
 from chiverun.core.exchange import TooLarge
 from chiverun.core.ids import Address
 from chiverun.integrations.cancellation import Cancellation
+from chiverun.integrations.connection import DeadlineConnection
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.network import split_address
 
 _CHUNK_BYTES = 65536
-_CONNECT_TIMEOUT_S = 1.0
 _EXCHANGE_ERRORS = (HTTPError, http.client.HTTPException, OSError, ValueError)
 HOP_HEADERS = frozenset(
     {
@@ -78,125 +75,6 @@
     cancellation: Cancellation | None = None
 
 
-class _ResponseReader(io.BufferedReader):
-    """Records on close whether bytes followed the response."""
-
-    has_trailing_bytes = False
-
-    def __init__(self, sock: "_DeadlineSocket") -> None:
-        super().__init__(socket.SocketIO(sock, "r"))
-        self._owner = sock
-
-    def close(self) -> None:
-        if not self.closed:
-            self._owner.is_finished = True
-            try:
-                self.has_trailing_bytes = bool(self.peek(1))
-            except (OSError, ValueError):
-                self.has_trailing_bytes = False
-        super().close()
-
-
-class _DeadlineSocket(socket.socket):
-    """A socket whose operations share the deadline of one exchange.
-
-    With a time-out for each operation only, a server that sends one byte at
-    a time could block a request forever.
-    """
-
-    clock: Clock
-    deadline = 0.0
-    reader: _ResponseReader
-    is_finished = False
-
-    def start_exchange(self, deadline: float) -> None:
-        """Start an exchange that ends by `deadline` (monotonic seconds)."""
-        self.deadline = deadline
-        self.is_finished = False
-
-    def apply_deadline(self) -> None:
-        """Set the socket's time-out to the time left until the deadline.
-
-        Raises
-        ------
-        TimeoutError
-            If the deadline has passed.
-        """
-        if self.is_finished:
-            self.settimeout(0.0)
-            return
-        remaining_s = self.deadline - self.clock.monotonic()
-        if remaining_s <= 0:
-            raise TimeoutError("deadline passed")
-        self.settimeout(remaining_s)
-
-    def recv_into(self, *args, **kwargs) -> int:
-        self.apply_deadline()
-        return super().recv_into(*args, **kwargs)
-
-    def sendall(self, *args, **kwargs) -> None:
-        self.apply_deadline()
-        super().sendall(*args, **kwargs)
-
-    def makefile(self, *_args, **_kwargs) -> _ResponseReader:
-        """Return a reader for one response."""
-        self._io_refs += 1
-        self.reader = _ResponseReader(self)
-        return self.reader
-
-    def finish_exchange(self) -> bool:
-        """End an exchange; return whether bytes followed its response."""
-        self.reader.close()
-        return self.reader.has_trailing_bytes
-
-
-class _Connection(HTTPConnection):
-    """A connection to one address, used by one exchange at a time."""
-
-    def __init__(self, host: str, port: int, *, clock: Clock) -> None:
-        super().__init__(host, port)
-        self._clock = clock
-        self._deadline = 0.0
-        self.exchanges = 0
-        self.has_response_id = False
-        self.has_started_sending = False
-        self.socket: _DeadlineSocket | None = None
-        self.cancellation: Cancellation | None = None
-
-    def start_exchange(self, deadline: float) -> None:
-        """Prepare for an exchange that ends by `deadline`."""
-        self._deadline = deadline
-        self.has_started_sending = False
-        remaining_s = deadline - self._clock.monotonic()
-        self.timeout = max(0.001, min(remaining_s, _CONNECT_TIMEOUT_S))
-        if self.socket is not None:
-            self.socket.start_exchange(deadline)
-
-    def send(self, data) -> None:
-        if self.sock is None:
-            if self.has_started_sending:
-                # Reconnecting would send only the rest of the request.
-                raise OSError("connection closed while sending")
-            self.connect()
-        self.socket.apply_deadline()
-        if self.cancellation is not None and not self.has_started_sending:
-            self.cancellation.attach(self.socket)
-        self.has_started_sending = True
-        super().send(data)
-
-    def _new_conn(self) -> _DeadlineSocket:
-        plain_sock = super()._new_conn()
-        self.socket = _DeadlineSocket(
-            plain_sock.family,
-            plain_sock.type,
-            plain_sock.proto,
-            fileno=plain_sock.detach(),
-        )
-        self.socket.clock = self._clock
-        self.socket.start_exchange(self._deadline)
-        return self.socket
-
-
 class HttpBackends:
     """Sends requests to backend servers and peers; thread-safe."""
 
@@ -207,14 +85,14 @@
         self._addresses = addresses
         self._connections = connections
         self._lock = threading.Lock()
-        self._idle: dict[Address, list[_Connection]] = {}
+        self._idle: dict[Address, list[DeadlineConnection]] = {}
 
     def exchange(self, address: Address, req: OutgoingRequest) -> ExchangeEnd:
         """Send a request once and read its complete response."""
         if req.deadline <= self._clock.monotonic():
             return NotSent(detail="deadline passed before sending")
         conn = self._acquire(address, req.fresh_connection)
-        conn.start_exchange(req.deadline)
+        conn.start_exchange(req.deadline, req.answer_bytes_max)
         conn.cancellation = req.cancellation
         end: ExchangeEnd | None = None
         try:
@@ -242,7 +120,7 @@
         for conn in idle:
             conn.close()
 
-    def _acquire(self, address: Address, fresh: bool) -> _Connection:
+    def _acquire(self, address: Address, fresh: bool) -> DeadlineConnection:
         while not fresh:
             with self._lock:
                 idle = self._idle.get(address)
@@ -255,9 +133,9 @@
                 return conn
             conn.close()
         host, port = split_address(self._addresses.translate(address))
-        return _Connection(host, port, clock=self._clock)
+        return DeadlineConnection(host, port, clock=self._clock)
 
-    def _release(self, address: Address, conn: _Connection) -> None:
+    def _release(self, address: Address, conn: DeadlineConnection) -> None:
         with self._lock:
             idle = self._idle.setdefault(address, [])
             if len(idle) < self._connections:
@@ -266,7 +144,9 @@
         conn.close()
 
 
-def _send(conn: _Connection, req: OutgoingRequest) -> ExchangeEnd | None:
+def _send(
+    conn: DeadlineConnection, req: OutgoingRequest
+) -> ExchangeEnd | None:
     """Send a request; return the end of the exchange if sending failed."""
     headers = dict(req.headers)
     if req.to_peer:
@@ -285,7 +165,7 @@
     return None
 
 
-def _receive(conn: _Connection, req: OutgoingRequest) -> ExchangeEnd:
+def _receive(conn: DeadlineConnection, req: OutgoingRequest) -> ExchangeEnd:
     """Read a response; check that it is complete and has the right id."""
     try:
         resp = conn.getresponse()
--- a/chiverun/integrations/instances.py
+++ b/chiverun/integrations/instances.py
@@ -1,17 +1,19 @@
 """Instance list client for Consul's HTTP health API."""
 
 import msgspec
-import urllib3
-from urllib3.exceptions import HTTPError
 
 from chiverun.core.ids import Address
 from chiverun.core.ids import ServerName
+from chiverun.integrations.boundedclient import BoundedClient
+from chiverun.integrations.boundedclient import CallFailed
+from chiverun.integrations.boundedclient import CallNotSent
 from chiverun.integrations.interfaces import StoreUnavailable
-from chiverun.integrations.network import split_address
 
 # One call returns all services. With 72 zones and 30 services, a call for each
 # service and watcher would exhaust the platform's read limit.
 _PATH = "/v1/health/state/critical"
+# About 20,000 checks.
+_BODY_BYTES_MAX = 4 * 1024 * 1024
 
 
 class _Check(msgspec.Struct):
@@ -22,9 +24,9 @@
     """Client of the platform's list of live and leaving instances."""
 
     def __init__(self, *, address: Address, timeout_s: float) -> None:
-        host, port = split_address(address)
-        self._pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=1, retries=False, timeout=timeout_s
+        self._timeout_s = timeout_s
+        self._client = BoundedClient(
+            address=address, body_bytes_max=_BODY_BYTES_MAX
         )
 
     def leaving(self) -> frozenset[ServerName]:
@@ -36,9 +38,9 @@
             If the list cannot be read.
         """
         try:
-            resp = self._pool.urlopen("GET", _PATH, retries=False)
-            checks = msgspec.json.decode(resp.data, type=list[_Check])
-        except (HTTPError, msgspec.DecodeError) as exc:
+            resp = self._client.call("GET", _PATH, timeout_s=self._timeout_s)
+            checks = msgspec.json.decode(resp.body, type=list[_Check])
+        except (CallNotSent, CallFailed, msgspec.MsgspecError) as exc:
             raise StoreUnavailable(
                 f"cannot read the instance list: {exc}"
             ) from exc
--- a/chiverun/integrations/store.py
+++ b/chiverun/integrations/store.py
@@ -5,18 +5,22 @@
 from typing import Any
 
 import msgspec
-import urllib3
-from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
 
 from chiverun.core.ids import Address
+from chiverun.integrations.boundedclient import BoundedClient
+from chiverun.integrations.boundedclient import BoundedResponse
+from chiverun.integrations.boundedclient import CallFailed
+from chiverun.integrations.boundedclient import CallNotSent
 from chiverun.integrations.interfaces import Item
 from chiverun.integrations.interfaces import StoreAnswerLost
 from chiverun.integrations.interfaces import StoreUnavailable
-from chiverun.integrations.network import split_address
 
 # Added to the waiting time of a blocking read for its time-out.
 _WAIT_MARGIN_S = 2.0
+# A value of 1 MB in base64, or a listing of keys.
+_BODY_BYTES_MAX = 4 * 1024 * 1024
+_CONNECTIONS = 4
+_WRITE_RESULTS = {b"true": True, b"false": False}
 
 
 class _KeyValuePair(msgspec.Struct, rename="pascal"):
@@ -34,13 +38,19 @@
         ``ip:port`` of the store.
     timeout_s : float
         Time-out of non-blocking calls in seconds.
+    read_attempts : int
+        How often a read is sent before the store counts as unavailable.
     """
 
-    def __init__(self, *, address: Address, timeout_s: float) -> None:
-        host, port = split_address(address)
+    def __init__(
+        self, *, address: Address, timeout_s: float, read_attempts: int = 1
+    ) -> None:
         self._timeout_s = timeout_s
-        self._pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=4, retries=False
+        self._read_attempts = read_attempts
+        self._client = BoundedClient(
+            address=address,
+            body_bytes_max=_BODY_BYTES_MAX,
+            connections=_CONNECTIONS,
         )
 
     def get(
@@ -55,7 +65,7 @@
         resp = self._read(f"/v1/kv/{key}", query, timeout_s)
         if resp.status == 404:
             return None
-        pairs = _decode(resp.data, list[_KeyValuePair])
+        pairs = _decode(resp.body, list[_KeyValuePair])
         if not pairs:
             raise StoreUnavailable("read returned no key-value pair")
         pair = pairs[0]
@@ -79,19 +89,22 @@
         )
         if resp.status == 404:
             return []
-        return _decode(resp.data, list[str])
+        return _decode(resp.body, list[str])
 
     def close(self) -> None:
         """Close idle connections."""
-        self._pool.close()
+        self._client.close()
 
     def _read(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> urllib3.BaseHTTPResponse:
-        try:
-            resp = self._request("GET", path, query, None, timeout_s)
-        except HTTPError as exc:
-            raise StoreUnavailable(f"read {path}: {exc}") from exc
+    ) -> BoundedResponse:
+        for attempt in range(1, self._read_attempts + 1):
+            try:
+                resp = self._call("GET", path, query, None, timeout_s)
+                break
+            except (CallNotSent, CallFailed) as exc:
+                if attempt == self._read_attempts:
+                    raise StoreUnavailable(f"read {path}: {exc}") from exc
         if resp.status not in (200, 404):
             raise StoreUnavailable(
                 f"read {path}: status {resp.status}; expected 200 or 404"
@@ -101,34 +114,36 @@
     def _write(self, method: str, path: str, body: bytes, cas: int) -> bool:
         query = {"cas": str(cas)}
         try:
-            resp = self._request(method, path, query, body, self._timeout_s)
-        except NewConnectionError as exc:
+            resp = self._call(method, path, query, body, self._timeout_s)
+        except CallNotSent as exc:
             raise StoreUnavailable(f"{method} {path}: {exc}") from exc
-        except HTTPError as exc:
+        except CallFailed as exc:
             raise StoreAnswerLost(f"{method} {path}: {exc}") from exc
         if resp.status != 200:
             # The write may have taken effect before the error.
             raise StoreAnswerLost(
                 f"{method} {path}: status {resp.status}; expected 200"
             )
-        return resp.data.strip() == b"true"
+        if resp.body.strip() not in _WRITE_RESULTS:
+            # For example a truncated response without a length.
+            raise StoreAnswerLost(
+                f"{method} {path}: malformed response {resp.body[:20]!r}"
+            )
+        return _WRITE_RESULTS[resp.body.strip()]
 
-    def _request(
+    def _call(
         self,
         method: str,
         path: str,
         query: dict[str, str],
         body: bytes | None,
         timeout_s: float,
-    ) -> urllib3.BaseHTTPResponse:
-        url = path + ("?" + urllib.parse.urlencode(query) if query else "")
-        return self._pool.urlopen(
-            method,
-            url,
-            body=body,
-            retries=False,
-            redirect=False,
-            timeout=urllib3.Timeout(connect=self._timeout_s, read=timeout_s),
+    ) -> BoundedResponse:
+        target = urllib.parse.quote(path)
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        return self._client.call(
+            method, target, body=body, timeout_s=timeout_s
         )
 
 
--- a/chiverun/integrations/web.py
+++ b/chiverun/integrations/web.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import threading
+import time
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -120,6 +121,11 @@
     )
 
 
+# A received request has reached a thread or the threads' queue by then.
+_QUIET_S = 0.3
+_DRAIN_POLL_S = 0.02
+
+
 class _HeaderReader(cheroot_server.HeaderReader):
     """Rejects ambiguous headers, which allow request smuggling.
 
@@ -302,6 +308,26 @@
         """Close each connection after its next response."""
         self._server.closes_connections = True
 
+    def drain(self, limit_s: float) -> bool:
+        """Wait until no received request is unanswered.
+
+        A request counts from its first byte, also while it waits for a
+        thread. Return False if requests still arrive after `limit_s`.
+        """
+        deadline = time.monotonic() + limit_s
+        quiet_since = time.monotonic()
+        while (now := time.monotonic()) < deadline:
+            if not self._is_idle():
+                quiet_since = now
+            elif now - quiet_since >= _QUIET_S:
+                return True
+            time.sleep(_DRAIN_POLL_S)
+        return False
+
+    def _is_idle(self) -> bool:
+        pool = self._server.requests
+        return pool.qsize == 0 and pool.idle >= self._server.requests.min
+
     def stop(self) -> None:
         """Close the listener and end the threads."""
         self._server.stop()
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -93,9 +93,17 @@
         seeds=tuple(Address(str(seed)) for seed in seeds),
         store=_decode_address(values.field(body, "platform", dict), "address"),
         bounds=_decode_bounds(values.field(body, "bounds", list)),
+        memory_bytes=_decode_memory(body.get("limits") or {}),
     )
 
 
+def _decode_memory(limits: Any) -> int | None:
+    """Return the memory of a process; missing or 0 means no known limit."""
+    if not isinstance(limits, dict) or not limits.get("memoryMb"):
+        return None
+    return int(values.number(limits, "memoryMb") * 1024 * 1024)
+
+
 def _decode_address(body: dict, name: str) -> Address:
     text = values.field(body, name, str)
     host, _, port = text.rpartition(":")
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -8,6 +8,8 @@
 
 import logbook
 
+from chiverun.core.bytebudget import ByteBudget
+from chiverun.core.bytebudget import MEMORY_FRACTION
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import RouteTable
@@ -95,7 +97,8 @@
             machines=self._machines,
             region_zones=self._region_zones,
         )
-        self._sender = Sender(header_codec=header_codec)
+        memory = _body_memory(cfg)
+        self._sender = Sender(header_codec=header_codec, memory=memory)
         self._steering = Steering(
             header_codec=header_codec,
             selector=selector,
@@ -108,7 +111,7 @@
         self.directory = Directory(
             table=self.follower.table, leaving=self.is_stopping
         )
-        self._entry = ListenerState(handler=self._handle)
+        self._entry = ListenerState(handler=self._handle, memory=memory)
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -295,3 +298,10 @@
                     "reason": fault.reason,
                 },
             )
+
+
+def _body_memory(cfg: EdgeSettings) -> ByteBudget:
+    """Return the bound on the bodies of all requests and responses."""
+    if cfg.memory_bytes is None:
+        return ByteBudget()
+    return ByteBudget(limit=int(cfg.memory_bytes * MEMORY_FRACTION))
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -57,6 +57,9 @@
 STOP_SPREAD_S = 2.0
 STOP_ANNOUNCE_PERIOD_S = 0.5
 SEAT_TRANSFER_TIMEOUT_S = 5.0
+# Time in which requests that were received before the listeners close are
+# refused.
+STOP_DRAIN_S = 3.0
 LOOKUP_READ_TIMEOUT_S = 1.0
 # Allows responses to be written after the longest request deadline.
 RESPONSE_MARGIN_S = 5.0
@@ -321,6 +324,18 @@
             _LOG.warning(
                 "cannot write seat record at shutdown: store timed out"
             )
+        self._answer_received_requests()
+
+    def _answer_received_requests(self) -> None:
+        """Answer what has been received but is not in flight yet.
+
+        On a busy machine a request waits for a thread, and callers whose
+        look-up answers have expired are late to notice.
+        """
+        self._entry.refuse_new_requests()
+        for server in self._servers:
+            if not server.drain(STOP_DRAIN_S):
+                _LOG.warning("requests still arrive at shutdown")
 
     def _announce_stop(self, seconds: float) -> None:
         """Announce the shutdown repeatedly, since messages may be lost."""
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Incomplete
@@ -30,6 +31,10 @@
 _LOG = logbook.Logger("send")
 
 CONNECT_TIMEOUT_S = 0.5
+# A choice of a server uses up budgets and rests on the catalog of its time.
+# Connecting takes less, so an older choice means that the process was paused.
+CHOICE_VALID_S = 1.0
+CONNECT_FAILED = "connect"
 RESPONSE_BYTES_MAX = 32 * 1024 * 1024
 # A server may close a connection that has been idle for longer just as it is
 # reused, which leaves unknown whether the request ran.
@@ -67,8 +72,11 @@
 class Sender:
     """Sends requests and records the health and load of servers."""
 
-    def __init__(self, *, header_codec: HeaderCodec) -> None:
+    def __init__(
+        self, *, header_codec: HeaderCodec, memory: ByteBudget
+    ) -> None:
         self._header_codec = header_codec
+        self._memory = memory
         self._loop = asyncio.get_running_loop()
         self._numbers = itertools.count()
 
@@ -81,8 +89,13 @@
         repeatable: bool,
         deadline: float,
         typical_s: float,
+        chosen_at: float,
     ) -> SendResult:
-        """Send a request once; `deadline` is in event loop time."""
+        """Send a request once.
+
+        `chosen_at`, when the server was chosen, and `deadline` are in event
+        loop time.
+        """
         number = next(self._numbers)
         started_at = self._loop.time()
         load_at_selection = _load_at_selection(row, started_at)
@@ -90,7 +103,7 @@
         row.pending_sends[number] = started_at
         try:
             result = await self._exchange(
-                row, request, metadata, repeatable, deadline
+                row, request, metadata, repeatable, deadline, chosen_at
             )
         except asyncio.CancelledError:
             _LOG.info(
@@ -119,6 +132,7 @@
         metadata: RequestMetadata,
         repeatable: bool,
         deadline: float,
+        chosen_at: float,
     ) -> SendResult:
         idle_max_s = (
             row.keep_alive_s if repeatable else UNREPEATABLE_IDLE_MAX_S
@@ -129,14 +143,20 @@
         if isinstance(connection, NotSent):
             return SendResult(end=connection)
         try:
-            remaining_s = deadline - self._loop.time()
+            now = self._loop.time()
+            remaining_s = deadline - now
             if remaining_s <= 0:
                 return SendResult(end=NotSent(detail="deadline passed"))
+            if now - chosen_at > CHOICE_VALID_S:
+                return SendResult(end=NotSent(detail="choice is too old"))
+            is_fresh = connection.exchanges == 0
             end = await connection.exchange(
                 self._outgoing_request(row, request, metadata, remaining_s),
                 remaining_s,
             )
-            result = self._interpret(row, end, request_id=metadata.request_id)
+            result = self._interpret(
+                row, end, request_id=metadata.request_id, is_fresh=is_fresh
+            )
             if isinstance(result.end, Mismatched | Incomplete):
                 connection.abort()
             return result
@@ -156,10 +176,11 @@
                 row.server.address,
                 timeout_s=timeout_s,
                 body_bytes_max=RESPONSE_BYTES_MAX,
+                memory=self._memory,
             )
         except (OSError, TimeoutError) as exc:
             row.connections -= 1
-            return NotSent(detail=f"connect: {exc!r}")
+            return NotSent(detail=f"{CONNECT_FAILED}: {exc!r}")
         except BaseException:
             row.connections -= 1
             raise
@@ -197,7 +218,12 @@
         return echoed is None or echoed == metadata.request_id
 
     def _interpret(
-        self, row: ServerRow, end: ExchangeEnd, *, request_id: str
+        self,
+        row: ServerRow,
+        end: ExchangeEnd,
+        *,
+        request_id: str,
+        is_fresh: bool,
     ) -> SendResult:
         if not isinstance(end, Answered):
             return SendResult(end=end)
@@ -205,8 +231,10 @@
         metadata = self._header_codec.response_metadata(end.status, headers)
         _update_keep_alive(row, headers)
         is_matched = metadata.is_stamped and metadata.request_id == request_id
-        if end.status < 300 and not is_matched:
-            # Nothing proves that this success belongs to the request.
+        # On a used connection it can be a late response to an earlier one.
+        is_anonymous = metadata.request_id is None and not is_fresh
+        if is_anonymous or (end.status < 300 and not is_matched):
+            # Nothing proves that this response belongs to the request.
             return SendResult(
                 end=Mismatched(request_id=metadata.request_id or "none"),
                 metadata=metadata,
@@ -243,7 +271,7 @@
             row.misdirected_until = now + MISDIRECTED_PAUSE_S
             row.close_idle()
         elif isinstance(result.end, NotSent):
-            if now - started_at > 0 and "deadline" not in result.end.detail:
+            if result.end.detail.startswith(CONNECT_FAILED):
                 eject(row.health, now)
         else:
             record(row.health, result.end, now - started_at, typical_s, now)
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -272,6 +272,7 @@
                 repeatable=request.route.repeatable,
                 deadline=request.deadline,
                 typical_s=self._typical_s(request.route),
+                chosen_at=now,
             )
         )
         request.pending[task] = send
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -48,6 +48,8 @@
         self.outage = False
         self.latency_ms = 0.0
         self.lose_answers = 0
+        # Delays of the next calls.
+        self.late_responses_s: list[float] = []
         self.lag_s = lag_s
         self.services: dict[str, dict[str, str]] = {}
         self.leaving: dict[str, float] = {}
@@ -138,6 +140,8 @@
                 self.close_connection = True
                 self.connection.close()
                 return None
+            if platform.late_responses_s:
+                time.sleep(platform.late_responses_s.pop(0))
             if platform.latency_ms:
                 time.sleep(platform.latency_ms / 1000.0)
             return urllib.parse.unquote(parts.path), query
--- /dev/null
+++ b/tests/core/test_bytebudget.py
@@ -0,0 +1,51 @@
+"""Tests of the bound on bytes held by all requests of a process."""
+
+import unittest
+
+from nose2.tools import params
+
+from chiverun.core.bytebudget import ByteBudget
+
+
+class ByteBudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.budget = ByteBudget(limit=100)
+        self.dropped = []
+
+    def _hold(self, name: str, size: int):
+        holding = self.budget.hold(lambda: self.dropped.append(name))
+        holding.grow(size)
+        return holding
+
+    @params((100, []), (101, ["endless"]))
+    def test_largest_is_dropped(self, total, dropped):
+        """Guards against small requests that fail for an endless one."""
+        self._hold("small", 10)
+        endless = self._hold("endless", 20)
+        endless.grow(total - 30)
+        self.assertEqual(dropped, self.dropped)
+        self.assertLessEqual(self.budget.used, 100)
+
+    def test_newcomer_drops_the_endless(self):
+        """Guards against requests that fail while endless ones hold all."""
+        for number in range(5):
+            self._hold(f"endless-{number}", 20)
+        self._hold("small", 5)
+        self.assertEqual(1, len(self.dropped))
+        self.assertIn("endless", self.dropped[0])
+
+    def test_pinned_is_not_dropped(self):
+        """Guards against dropping the body of a request that is handled."""
+        self._hold("handled", 80).pin()
+        self._hold("newcomer", 30)
+        self.assertEqual(["newcomer"], self.dropped)
+        self.assertEqual(80, self.budget.used)
+
+    def test_release(self):
+        """Guards against bytes that stay counted after their request."""
+        holding = self._hold("a", 60)
+        self.assertFalse(self.budget.has_room(41))
+        holding.release()
+        holding.release()
+        self.assertEqual(0, self.budget.used)
+        self.assertTrue(self.budget.has_room(100))
--- a/tests/integrations/test_asyncclient.py
+++ b/tests/integrations/test_asyncclient.py
@@ -5,6 +5,7 @@
 import socket
 import unittest
 
+from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import Incomplete
 from chiverun.core.exchange import Mismatched
@@ -88,6 +89,33 @@
 }
 
 
+# What a server sends without end, after a first part.
+_ENDLESS = {
+    "head": (_MATCHING_HEAD, b"X: " + b"a" * 1000 + b"\r\n"),
+    "header line": (_MATCHING_HEAD + b"X: ", b"a" * 1000),
+    "bytes that are no response": (b"", b"\x00\xff" * 500),
+    "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20),
+    "responses to others": (b"", _OTHER_RESPONSE * 20),
+    "body": (_MATCHING_HEAD + b"\r\n", b"a" * 1000),
+    "chunks": (
+        _MATCHING_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\na\r\n" * 200,
+    ),
+    "chunk extension": (
+        _MATCHING_HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;",
+        b"a" * 1000,
+    ),
+    "chunk extensions": (
+        _MATCHING_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1;" + b"a" * 1000 + b"\r\na\r\n",
+    ),
+    "trailers": (
+        _MATCHING_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X: " + b"a" * 1000 + b"\r\n",
+    ),
+}
+
+
 class AsyncClientTest(unittest.IsolatedAsyncioTestCase):
     async def _serve(self, *scripts) -> str:
         """Start a server with one script for each connection."""
@@ -120,6 +148,8 @@
                 self.closed.set()
             else:
                 writer.write(step)
+                if len(step) == 1:
+                    await asyncio.sleep(0.01)
         if script == [_MATCHING_RESPONSE]:
             # The response announces no close, so the connection stays open.
             await reader.read()
@@ -180,3 +210,81 @@
             port = listener.getsockname()[1]
         with self.assertRaises(OSError):
             await self._connect(f"127.0.0.1:{port}")
+
+    async def _serve_endless(self, first: bytes, rest: bytes) -> str:
+        """Start a server that sends until the client closes."""
+        self.closed_connections = 0
+
+        async def handle(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                writer.write(first)
+                while True:
+                    writer.write(rest)
+                    await writer.drain()
+            self.closed_connections += 1
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def test_bytes_without_end(self) -> None:
+        """Guards against a server that sends until the caller closes."""
+        for name, (first, rest) in _ENDLESS.items():
+            with self.subTest(name):
+                address = await self._serve_endless(first, rest)
+                connection = await self._connect(address)
+                end = await self._exchange(connection)
+                self.assertIsInstance(end, Incomplete | TooLarge | Mismatched)
+                self.assertFalse(connection.reusable)
+                while not self.closed_connections:
+                    await asyncio.sleep(0.01)
+
+    async def test_bytes_without_end_a_byte_at_a_time(self) -> None:
+        """Guards against a deadline that each byte extends."""
+        for name, (first, rest) in _ENDLESS.items():
+            with self.subTest(name):
+                address = await self._serve([first, *_bytes_of(rest)])
+                connection = await self._connect(address)
+                end = await self._exchange(connection, 0.3)
+                self.assertNotIsInstance(end, Answered)
+                self.assertFalse(connection.reusable)
+
+    async def test_memory_of_endless_bodies_is_bounded(self) -> None:
+        """Guards against many endless bodies that exhaust the memory.
+
+        Each is within the limit of one body; the responses of sound servers
+        arrive meanwhile.
+        """
+        memory = ByteBudget(limit=1_000_000)
+        endless = await self._serve_endless(
+            _MATCHING_HEAD + b"\r\n", b"a" * 999
+        )
+        connections = [
+            await connect(
+                endless,
+                timeout_s=_TIMEOUT_S,
+                body_bytes_max=500_000,
+                memory=memory,
+            )
+            for _ in range(50)
+        ]
+        running = [
+            asyncio.create_task(self._exchange(row)) for row in connections
+        ]
+        largest = 0
+        for _ in range(20):
+            sound = await self._connect(
+                await self._serve([_MATCHING_RESPONSE])
+            )
+            self.assertIsInstance(await self._exchange(sound), Answered)
+            largest = max(largest, memory.used)
+        ends = await asyncio.gather(*running)
+        self.assertLessEqual(largest, memory.limit)
+        self.assertEqual({TooLarge}, {type(end) for end in ends})
+        self.assertEqual(0, memory.used)
+
+
+def _bytes_of(data: bytes) -> list[bytes]:
+    return [data[i : i + 1] for i in range(len(data))]
--- a/tests/integrations/test_asyncserver.py
+++ b/tests/integrations/test_asyncserver.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.catalog import ClientLimits
+from chiverun.integrations import asyncserver
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import listen
 from chiverun.integrations.asyncserver import ListenerState
@@ -138,3 +141,109 @@
         )
         self.assertIn(b"Content-Length: 2", response)
         self.assertTrue(response.endswith(b"\r\n\r\n"))
+
+    async def test_long_body_is_refused_before_it_is_read(self) -> None:
+        """Guards against a caller that loses the refusal to a reset.
+
+        The caller sends its whole body before it reads the response.
+        """
+        raw = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 500000\r\n\r\n"
+        for body in (b"", b"b" * 500_000):
+            response = await self._send(raw + body)
+            self.assertEqual(b"413", response[9:12])
+        self.assertEqual([], self.handled_requests)
+
+    async def test_chunked_body_is_refused_at_its_limit(self) -> None:
+        """Guards against reading chunks without end."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+        chunk = b"32\r\n" + b"b" * 50 + b"\r\n"
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(head + b"\r\n" + 3 * chunk)
+        response = await asyncio.wait_for(reader.read(), _TIMEOUT_S)
+        self.assertEqual(b"413", response[9:12])
+
+    async def test_expected_continue_is_not_given_for_a_long_body(
+        self,
+    ) -> None:
+        """Guards against asking for a body that is then refused."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+        for length, status in ((5, b"100"), (101, b"413")):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+            writer.write(head + b"Content-Length: %d\r\n\r\n" % length)
+            line = await asyncio.wait_for(reader.readline(), _TIMEOUT_S)
+            self.assertEqual(status, line[9:12])
+
+    async def test_memory_of_all_bodies_is_bounded(self) -> None:
+        """Guards against many bodies that exhaust the memory together.
+
+        Each is within the limit of one body. The newcomer is told truly that
+        it has not run, and the bodies that are being read go on.
+        """
+        self.state.memory = ByteBudget(limit=250)
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        rows = []
+        for _ in range(3):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+            writer.write(head + b"Content-Length: 80\r\n\r\n" + b"b" * 79)
+            rows.append((reader, writer))
+        while self.state.memory.used < 3 * 79:
+            await asyncio.sleep(0.01)
+        raw = head + b"Content-Length: 80\r\n\r\n" + b"b" * 80
+        refused = await self._send(raw)
+        self.assertEqual(b"503", refused[9:12])
+        self.assertIn(b"Retry-After", refused)
+        for reader, writer in rows:
+            writer.write(b"b")
+            response = await asyncio.wait_for(reader.read(), _TIMEOUT_S)
+            self.assertEqual(b"200", response[9:12])
+        self.assertEqual(0, self.state.memory.used)
+        self.assertEqual(b"200", (await self._send(raw))[9:12])
+
+    async def test_trickled_body_ends(self) -> None:
+        """Guards against a body that a byte now and then keeps open."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\n"
+        with mock.patch.object(asyncserver, "BODY_TIMEOUT_S", 0.5):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+            writer.write(head)
+            reading = asyncio.create_task(reader.read())
+            for _ in range(40):
+                if reading.done():
+                    break
+                writer.write(b"b")
+                await asyncio.sleep(0.1)
+            response = await asyncio.wait_for(reading, _TIMEOUT_S)
+        self.assertEqual(b"408", response[9:12])
+
+    async def test_half_a_head_is_not_idle(self) -> None:
+        """Guards against a stop that cuts a request which is being sent."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n")
+        while not any(conn.is_busy for conn in self.state.connections):
+            await asyncio.sleep(0.01)
+        self.state.closing = True
+        for conn in list(self.state.connections):
+            conn.close_if_idle()
+        writer.write(b"\r\n")
+        response = await asyncio.wait_for(reader.read(), _TIMEOUT_S)
+        self.assertEqual(b"200", response[9:12])
+
+    async def test_caller_that_does_not_read_gets_no_further_responses(
+        self,
+    ) -> None:
+        """Guards against responses that pile up in memory."""
+        path = b"/" + b"p" * 900
+        _, writer = await asyncio.open_connection(*self.address, limit=1)
+        self.addCleanup(writer.close)
+        writer.transport.pause_reading()
+        for _ in range(60):
+            writer.write((b"GET %s HTTP/1.1\r\nHost: x\r\n\r\n" % path) * 300)
+            await asyncio.sleep(0.02)
+        handled = len(self.handled_requests)
+        await asyncio.sleep(0.3)
+        self.assertEqual(handled, len(self.handled_requests))
+        self.assertLess(handled, 18_000)
--- a/tests/integrations/test_backend.py
+++ b/tests/integrations/test_backend.py
@@ -27,10 +27,30 @@
 _OK = b"HTTP/1.1 200 OK\r\n"
 _ID = b"X-Request-Id: %(id)s\r\n"
 _COMPLETE = _OK + _ID + b"Content-Length: 2\r\n\r\nok"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+_ENDLESS = "endless"
 _RESET = "reset"
 _HOLD = "hold"
 _DRIP = "drip"
 _DRIP_HEADERS = "drip headers"
+# The first is for exchanges that must not end by their deadline: a busy
+# machine, or a garbage collection of this process, may pause them.
+_DEADLINE_S = 10.0
+_SHORT_DEADLINE_S = 0.4
+
+
+# What a server sends first, and then again and again.
+ENDLESS_RESPONSES = (
+    ("head", _OK, b"X: " + b"a" * 1000 + b"\r\n"),
+    ("header line", _OK + b"X: ", b"a" * 1000),
+    ("no response", b"", b"\x00\xff" * 500),
+    ("interim", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+    ("body", _OK + b"Content-Length: 99999999\r\n\r\n", b"a" * 1000),
+    ("chunks", _CHUNKED, b"1\r\na\r\n" * 200),
+    ("chunk extension", _CHUNKED + b"1;", b"a" * 1000),
+    ("chunk extensions", _CHUNKED, b"1;" + b"a" * 999 + b"\r\na\r\n"),
+    ("trailers", _CHUNKED + b"0\r\n", b"X: " + b"a" * 999 + b"\r\n"),
+)
 
 
 class ScriptedServer:
@@ -46,6 +66,7 @@
         host, port = self._listener.getsockname()
         self.address = f"{host}:{port}"
         self.requests_read = 0
+        self.bytes_sent = 0
         self.stopping = threading.Event()
         self.connection_ended = threading.Event()
         threading.Thread(target=self._accept, daemon=True).start()
@@ -84,11 +105,24 @@
                 if step == _HOLD:
                     self.stopping.wait(30)
                     return
+                if step[0] == _ENDLESS:
+                    self._send_endless(conn, *step[1:])
+                    return
                 if step in (_DRIP, _DRIP_HEADERS):
                     self._drip(conn, is_body=step == _DRIP)
                     return
                 conn.sendall(step.replace(b"%(id)s", request_id))
 
+    def _send_endless(self, conn: socket.socket, first, rest) -> None:
+        """Send until the other side closes."""
+        try:
+            conn.sendall(first)
+            while not self.stopping.is_set():
+                conn.sendall(rest)
+                self.bytes_sent += len(rest)
+        except OSError:
+            return
+
     def _drip(self, conn: socket.socket, *, is_body: bool) -> None:
         """Send one byte at a time for longer than the tests' deadlines."""
         conn.sendall(_OK + b"Content-Length: 1000\r\n")
@@ -139,7 +173,7 @@
             "headers": {"X-Request-Id": f"id-{number}"},
             "body": b"",
             "request_id": f"id-{number}",
-            "deadline": time.monotonic() + 0.4,
+            "deadline": _deadline_in(_DEADLINE_S),
             "answer_bytes_max": 100,
             "fresh_connection": False,
         }
@@ -216,13 +250,30 @@
         for fresh in (False, True):
             server = self._server([step])
             started = time.monotonic()
-            end = self._exchange(server.address, fresh_connection=fresh)
+            deadline_s = _SHORT_DEADLINE_S if kind is TimedOut else _DEADLINE_S
+            end = self._exchange(
+                server.address,
+                fresh_connection=fresh,
+                deadline=_deadline_in(deadline_s),
+            )
             self.assertIsInstance(end, kind)
             self.assertLess(time.monotonic() - started, 2.0)
             self.assertEqual(1, server.requests_read)
             if kind not in (Answered, Shed):
                 self.assertIs(Outcome.UNKNOWN, classify(end).outcome)
 
+    @params(*ENDLESS_RESPONSES)
+    def test_bytes_without_end(self, _case, first, rest):
+        """Guards against a server that sends until the caller closes.
+
+        The deadline is far: the exchange ends by the number of bytes.
+        """
+        server = self._server([(_ENDLESS, first, rest)])
+        end = self._exchange(server.address, deadline=_deadline_in(60))
+        self.assertIsInstance(end, Incomplete | Reset | TooLarge | Mismatched)
+        self.assertTrue(server.connection_ended.wait(10))
+        self.assertLess(server.bytes_sent, 32_000_000)
+
     @params(
         ("id of another", _COMPLETE.replace(b"%(id)s", b"id-9")),
         ("excess", _COMPLETE + _COMPLETE),
@@ -233,7 +284,8 @@
     def test_connection_is_not_used_again(self, _case, step):
         """Guards against reading a stale response on a reused connection."""
         server = self._server([step, step], [_COMPLETE, _COMPLETE])
-        self._exchange(server.address)
+        deadline_s = _SHORT_DEADLINE_S if step == _HOLD else _DEADLINE_S
+        self._exchange(server.address, deadline=_deadline_in(deadline_s))
         for number in (2, 3):
             end = self._exchange(server.address, number)
             self.assertIsInstance(end, Answered)
@@ -282,7 +334,10 @@
         server = self._server()
         started = time.monotonic()
         end = self._exchange(
-            server.address, method="POST", body=b"x" * 20_000_000
+            server.address,
+            method="POST",
+            body=b"x" * 20_000_000,
+            deadline=_deadline_in(_SHORT_DEADLINE_S),
         )
         self.assertIsInstance(end, TimedOut)
         self.assertLess(time.monotonic() - started, 2.0)
@@ -291,7 +346,7 @@
         """Guards against sending a request's rest on a new connection."""
         server = self._server([_COMPLETE], [_COMPLETE])
         conn = self.backends._acquire(server.address, True)
-        conn.start_exchange(_deadline_in(1))
+        conn.start_exchange(_deadline_in(1), 100)
         conn.send(b"POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n")
         conn.close()
         with self.assertRaises(OSError):
--- a/tests/integrations/test_web.py
+++ b/tests/integrations/test_web.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 import unittest
 
 from nose2.tools import params
@@ -212,3 +213,71 @@
             [("POST", "/s/x", b"x" * n) for n in range(3)],
             self.handled_requests,
         )
+
+
+class DrainTest(unittest.TestCase):
+    """A stop while requests wait for the only thread."""
+
+    _REQUESTS = 30
+
+    def _answered_at_stop(self, *, drains: bool) -> int:
+        """Return how many requests were answered around a stop."""
+        address = free_address()
+        server = WebServer(
+            address=address,
+            handler=lambda _req: time.sleep(0.1) or Response(status=200),
+            threads=1,
+        )
+        server.start()
+        port = int(address.rpartition(":")[2])
+        conns = [
+            socket.create_connection(("127.0.0.1", port), 20)
+            for _ in range(self._REQUESTS)
+        ]
+        for conn in conns:
+            self.addCleanup(conn.close)
+            conn.sendall(_GET + b"\r\n")
+        if drains:
+            server.close_connections()
+            self.assertTrue(server.drain(30.0))
+        server.stop()
+        return sum(_is_answered(conn) for conn in conns)
+
+    def test_received_requests_are_answered(self):
+        """Guards against requests that a stop cuts off in the queue."""
+        self.assertEqual(self._REQUESTS, self._answered_at_stop(drains=True))
+
+    def test_stop_at_once_cuts_off(self):
+        """Checks that the load of the test above needs the drain."""
+        self.assertLess(self._answered_at_stop(drains=False), self._REQUESTS)
+
+    def test_drain_ends_while_requests_arrive(self):
+        """Guards against a stop that never ends under load."""
+        address = free_address()
+        gate = threading.Event()
+        self.addCleanup(gate.set)
+        server = WebServer(
+            address=address,
+            handler=lambda _req: gate.wait(20) and Response(status=200),
+            threads=1,
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        port = int(address.rpartition(":")[2])
+        conn = socket.create_connection(("127.0.0.1", port), 5)
+        self.addCleanup(conn.close)
+        conn.sendall(_GET)
+        self.assertFalse(server.drain(0.8))
+        gate.set()
+
+
+def _is_answered(conn: socket.socket) -> bool:
+    try:
+        received = b""
+        while data := conn.recv(65536):
+            received += data
+            if b"\r\n\r\n" in received:
+                return received.startswith(b"HTTP/1.1 200")
+    except OSError:
+        return False
+    return False
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -221,6 +221,19 @@
                 ResultCode.STORE_UNAVAILABLE, "ticket", *args, settings
             )
 
+    def test_one_late_response(self):
+        """Guards against a command that fails while the store works.
+
+        The first response takes longer than the time-out of a call.
+        """
+        settings = str(self.folder / "op.ini")
+        path = self.write("t.toml", _TICKET.format(1))
+        for args in (("check", path), ("submit", path), ("log",)):
+            self.platform.late_responses_s = [0.8]
+            status, _, err = run("ticket", *args, settings)
+            self.assertEqual((0, ""), (status, err))
+            self.assertEqual([], self.platform.late_responses_s)
+
     def test_lost_responses_over_http(self):
         """Guards against a wrong outcome when responses to writes are lost."""
         address = Address(f"127.0.0.1:{self.port}")
