--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -27,6 +27,10 @@
 class Update(msgspec.Struct, frozen=True, kw_only=True, tag="u"):
     """Records that changed after `since`, complete up to `as_of`.
 
+    After a full read of the store, deletions of records that the sender never
+    had are missing: the message is then `from_listing`, and complete only for
+    a receiver that is exactly at `since`.
+
     `lapse_left_s` is how long servers whose records are deleted stay in use
     after a store outage. `live` lists the edge instances from which the
     sender receives heartbeats; only relays send it, and not with each update.
@@ -39,6 +43,7 @@
     items: list[VersionedRecord]
     lapse_left_s: float
     live: list[InstanceId] | None = None
+    from_listing: bool = False
 
 
 class Pull(msgspec.Struct, frozen=True, kw_only=True, tag="p"):
--- a/chiverun/core/replica.py
+++ b/chiverun/core/replica.py
@@ -64,11 +64,16 @@
 
 
 class Replica:
-    """Rows by key, complete up to revision `as_of`."""
+    """Rows by key, complete up to revision `as_of`.
+
+    All deletions since revision `history_from` are among the rows. Those
+    before it may have been missed by a listing, or dropped as too old.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[str, Row] = {}
         self.as_of = Revision(0)
+        self.history_from = Revision(0)
 
     def apply(
         self,
@@ -168,6 +173,7 @@
                 changed.append(item)
         changed += self.apply(items, now=now, lapse_until=lapse_until)
         self.as_of = max(self.as_of, as_of)
+        self.history_from = max(self.history_from, as_of)
         return changed
 
     def expire(self, now: float) -> list[str]:
@@ -180,11 +186,15 @@
                 row.changed_at = now
                 dropped.append(key)
             elif row.record is None and now - row.changed_at > TOMBSTONE_S:
+                self.history_from = max(self.history_from, row.revision)
                 del self.rows[key]
         return dropped
 
     def changed_after(self, revision: Revision) -> list[VersionedRecord]:
-        """Return records and deletions that changed after a revision."""
+        """Return records and deletions that changed after a revision.
+
+        They are complete only if the revision is at least `history_from`.
+        """
         return [
             _versioned_record(key, row)
             for key, row in self.rows.items()
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -222,7 +222,7 @@
             lapse_until=self._lapse_until,
         )
         self._publish_changes(changed, source)
-        self._relay(since, changed)
+        self._relay(since, changed, from_listing=True)
 
     def _apply_changes(self, changes: Changes) -> None:
         since = self.replica.as_of
@@ -233,9 +233,15 @@
         )
         self.replica.as_of = max(since, changes.as_of)
         self._publish_changes(changed, "store")
-        self._relay(since, changed)
+        self._relay(since, changed, from_listing=False)
 
-    def _relay(self, since: Revision, changed: list[VersionedRecord]) -> None:
+    def _relay(
+        self,
+        since: Revision,
+        changed: list[VersionedRecord],
+        *,
+        from_listing: bool,
+    ) -> None:
         """Send changes, or that there are none, to the region's machines."""
         now = self._loop.time()
         # This machine's own store reads count as relay messages.
@@ -260,6 +266,7 @@
                 items=changed,
                 lapse_left_s=max(0.0, self._lapse_until - now),
                 live=live,
+                from_listing=from_listing,
             )
         )
         for machine in self.table.region_machines():
@@ -319,8 +326,7 @@
 
     def _handle_update(self, update: Update) -> None:
         now = self._loop.time()
-        if update.since > self.replica.as_of:
-            # An earlier update has been missed.
+        if _is_incomplete(update, self.replica.as_of):
             row = self.table.rows.get(update.sender)
             if row is not None:
                 self._peers.send(
@@ -348,7 +354,7 @@
     def _handle_pull(self, pull: Pull) -> None:
         if self.replica.as_of <= pull.as_of or not self.is_current:
             return
-        if pull.as_of:
+        if pull.as_of >= max(1, self.replica.history_from):
             reply = Update(
                 sender=self._me.name,
                 boot_id=self._boot_id,
@@ -382,6 +388,13 @@
         self._on_change()
 
 
+def _is_incomplete(update: Update, as_of: Revision) -> bool:
+    """Return whether an update lacks changes for a replica at `as_of`."""
+    if update.since > as_of:
+        return True
+    return update.from_listing and update.since < as_of < update.as_of
+
+
 def _describe(item: VersionedRecord) -> dict:
     match item.record:
         case None:
--- a/tests/core/test_replica.py
+++ b/tests/core/test_replica.py
@@ -11,6 +11,7 @@
 from chiverun.core.replica import Evacuation
 from chiverun.core.replica import LAPSE_GRACE_S
 from chiverun.core.replica import Replica
+from chiverun.core.replica import TOMBSTONE_S
 from chiverun.core.replica import Unreadable
 from chiverun.core.replica import VersionedRecord
 
@@ -136,3 +137,23 @@
         )
         other.apply(self.replica.changed_after(1), now=2.0)
         self.assertEqual(other.servers(), self.replica.servers())
+
+    def test_listing_lacks_earlier_deletions(self) -> None:
+        """Guards against changes that omit the deletion of a server.
+
+        The server was registered and removed while this replica was away, so
+        that a replica which knows the server must not rely on these changes.
+        """
+        self.replica.replace([_versioned("b", 9, _server("b"))], 10, now=1.0)
+        self.assertEqual(10, self.replica.history_from)
+        self.replica.apply([_versioned("b", 12)], now=1.0)
+        self.assertEqual(10, self.replica.history_from)
+
+    def test_dropped_deletions_are_not_history(self) -> None:
+        """Guards against changes without a deletion that was forgotten."""
+        self.replica.apply([_versioned("a", 1, _server("a"))], now=1.0)
+        self.replica.apply([_versioned("a", 7)], now=1.0)
+        self.replica.expire(1.0 + TOMBSTONE_S - 1)
+        self.assertEqual(0, self.replica.history_from)
+        self.replica.expire(1.0 + TOMBSTONE_S + 1)
+        self.assertEqual(7, self.replica.history_from)
