Keep the peers' thread and the settings check through malformed input

Cause: an exception in the receiver of a message, or an address in a message that zmq cannot use (ValueError), ended the only thread of the transport: the instance was deaf and mute from then on. Settings with seeds that are no list raised a TypeError without a code.

Change: both are caught where they arise, logged and counted; each decoder of the edge (records, settings, store responses, peer messages) is tested with derandomized variants: random bytes, one odd field at any depth, cut and changed bytes, deep nesting.

--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 
+import logbook
 import zmq
 
 from chiverun.core.errors import ChiverunError
@@ -12,6 +13,8 @@
 from chiverun.core.ids import Address
 from chiverun.integrations.network import AddressMap
 
+_LOG = logbook.Logger("peers")
+
 _MESSAGE_BYTES_MAX = 2 * 1024 * 1024
 _SEND_HIGH_WATER_MARK = 256
 _RECONNECT_MS_MAX = 500
@@ -52,6 +55,8 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_dropped = 0
+        # Unexpected errors on the thread.
+        self.failures = 0
 
     def start(self, receive: Callable[[bytes], None]) -> None:
         """Bind and start; `receive` is called on the transport's thread.
@@ -117,16 +122,24 @@
         poller.register(self._router, zmq.POLLIN)
         poller.register(self._wake_receiver, zmq.POLLIN)
         while not self._stopping.is_set():
-            ready = dict(poller.poll(_POLL_MS))
-            if self._wake_receiver in ready:
-                _drain(self._wake_receiver)
-            if self._router in ready:
-                self._receive_messages()
-            self._send_queued()
-            self._close_idle()
+            try:
+                self._run_once(poller)
+            except Exception:
+                # Without this thread the instance would be deaf to its peers.
+                self.failures += 1
+                _LOG.exception("cannot handle peer traffic")
         self._send_queued()
         self._close_sockets()
 
+    def _run_once(self, poller: zmq.Poller) -> None:
+        ready = dict(poller.poll(_POLL_MS))
+        if self._wake_receiver in ready:
+            _drain(self._wake_receiver)
+        if self._router in ready:
+            self._receive_messages()
+        self._send_queued()
+        self._close_idle()
+
     def _receive_messages(self) -> None:
         while True:
             try:
@@ -147,7 +160,8 @@
             try:
                 self._get_dealer(address).send(payload, zmq.NOBLOCK)
                 self.bytes_sent += len(payload)
-            except zmq.ZMQError:
+            except (zmq.ZMQError, ValueError):
+                # Also for an address that is not valid.
                 self.messages_dropped += 1
 
     def _get_dealer(self, address: Address) -> zmq.Socket:
@@ -162,7 +176,11 @@
             dealer.setsockopt(zmq.CONNECT_TIMEOUT, _LINK_TIMEOUT_MS)
             dealer.setsockopt(zmq.HANDSHAKE_IVL, _LINK_TIMEOUT_MS)
             dealer.setsockopt(zmq.TCP_MAXRT, _LINK_TIMEOUT_MS)
-            dealer.connect(f"tcp://{self._addresses.translate(address)}")
+            try:
+                dealer.connect(f"tcp://{self._addresses.translate(address)}")
+            except (zmq.ZMQError, ValueError):
+                dealer.close()
+                raise
         else:
             dealer = entry[0]
         self._dealers[address] = (dealer, now)
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -64,7 +64,7 @@
     """
     try:
         return _decode_body(json.loads(text))
-    except (values.InvalidValueError, ValueError) as exc:
+    except (ValueError, RecursionError) as exc:
         raise ChiverunError(
             ResultCode.SETTING_INVALID, f"invalid settings file: {exc}"
         ) from exc
@@ -74,7 +74,7 @@
     listen = values.field(body, "listen", dict)
     ip = values.field(body, "ip", str)
     _, last_port = values.field(body, "innerPorts", list)
-    seeds = body.get("seeds") or []
+    seeds = values.field(body, "seeds", list) if body.get("seeds") else []
     return EdgeSettings(
         name=InstanceId(values.field(body, "nodeName", str)),
         zone=ZoneName(values.field(body, "zone", str)),
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -60,8 +60,8 @@
             body = await self._get(path)
             if as_of is None:
                 as_of = Revision(body["storeRevision"])
-            rows = _valid_rows(body, "items")
-            items += [item for row in rows if (item := _decode_item(row))]
+            rows = valid_rows(body, "items")
+            items += [item for row in rows if (item := decode_item(row))]
             if not body.get("hasMore") or not rows:
                 return Changes(items=items, as_of=as_of)
             after = quote(rows[-1]["key"], safe="")
@@ -87,9 +87,9 @@
             f"&waitMs={int(wait_s * 1000)}",
             wait_s=wait_s,
         )
-        rows = _valid_rows(body, "events")
+        rows = valid_rows(body, "events")
         return Changes(
-            items=[item for row in rows if (item := _decode_item(row))],
+            items=[item for row in rows if (item := decode_item(row))],
             as_of=Revision(body["storeRevision"]),
         )
 
@@ -132,12 +132,7 @@
             raise CatalogUnavailable(
                 f"{path}: status {response.status}; expected 200"
             )
-        try:
-            body = json.loads(response.body)
-            values.integer(body, "storeRevision")
-        except (ValueError, values.InvalidValueError) as exc:
-            raise CatalogUnavailable(f"{path}: {exc}") from exc
-        return body
+        return decode_body(response.body, path)
 
     async def _call(
         self, method: str, path: str, body: str, *, wait_s: float = 0.0
@@ -180,7 +175,23 @@
         return self._connection
 
 
-def _valid_rows(body: dict[str, Any], name: str) -> list[dict[str, Any]]:
+def decode_body(data: bytes, path: str) -> dict[str, Any]:
+    """Decode a response of the store.
+
+    Raises
+    ------
+    CatalogUnavailable
+        If the response is malformed.
+    """
+    try:
+        body = json.loads(data)
+        values.integer(body, "storeRevision")
+    except (ValueError, RecursionError) as exc:
+        raise CatalogUnavailable(f"{path}: {exc}") from exc
+    return body
+
+
+def valid_rows(body: dict[str, Any], name: str) -> list[dict[str, Any]]:
     """Return the valid rows of a response; log and skip the others."""
     rows = body.get(name)
     if not isinstance(rows, list):
@@ -199,7 +210,7 @@
     return readable
 
 
-def _decode_item(row: dict[str, Any]) -> VersionedRecord | None:
+def decode_item(row: dict[str, Any]) -> VersionedRecord | None:
     """Decode an item or event; return None for keys that are not used."""
     key = row["key"]
     if not key.startswith(records.PREFIXES):
--- /dev/null
+++ b/tests/adapter/test_malformed.py
@@ -0,0 +1,172 @@
+"""Tests of the edge's decoders with malformed input.
+
+They guard against one malformed message or item that ends a process or
+affects the valid ones.
+"""
+
+import unittest
+
+import logbook
+import msgspec
+from hypothesis import given
+from hypothesis import settings
+from nose2.tools import params
+
+from chiverun.core import edgemessages
+from chiverun.core.catalog import DesiredState
+from chiverun.core.catalog import Server
+from chiverun.core.errors import ChiverunError
+from chiverun.core.replica import Unreadable
+from chiverun.core.replica import VersionedRecord
+from chiverun.integrations.catalogstore import CatalogUnavailable
+from chiverun.platform import store as store_module
+from chiverun.platform.records import decode_record
+from chiverun.platform.settings import decode_settings
+from chiverun.runtime.follower import CatalogFollower
+from tests import malformed
+from tests.adapter.examples import desired_state
+from tests.adapter.examples import server_entry
+from tests.adapter.examples import settings_body
+from tests.runtime.test_follower import FakePeers
+from tests.runtime.test_follower import FakeStore
+from tests.runtime.test_follower import make_machine
+from tests.runtime.test_follower import make_server
+
+_EXAMPLES = settings(derandomize=True, max_examples=300, deadline=None)
+_ITEM = VersionedRecord(key="servers/a", revision=3, record=make_server("a"))
+_MESSAGES = (
+    edgemessages.Heartbeat(
+        machine=make_machine("m1"),
+        boot_id="l1",
+        leaving=False,
+        reads_store=True,
+    ),
+    edgemessages.Update(
+        sender="m1",
+        boot_id="l1",
+        since=5,
+        as_of=6,
+        items=[_ITEM],
+        lapse_left_s=0.0,
+        live=["m1"],
+    ),
+    edgemessages.Pull(reply_to="10.0.0.1:1", as_of=2),
+    edgemessages.Snapshot(as_of=6, items=[_ITEM]),
+)
+_STORE_BODY = {
+    "storeRevision": 9,
+    "items": [{"key": "servers/a", "value": "e30=", "revision": 3}],
+    "events": [{"key": "servers/a", "revision": 3, "deleted": True}],
+    "hasMore": False,
+}
+
+
+class RecordTest(unittest.TestCase):
+    @params("op/config", "servers/a", "chiverun/machines/m", "op/evacuate/z")
+    def test_bytes(self, key):
+        """Guards against an item of another writer."""
+
+        @_EXAMPLES
+        @given(malformed.RANDOM_BYTES)
+        def check(data: bytes) -> None:
+            decode_record(key, data)
+
+        check()
+        decode_record(key, malformed.DEEP_JSON)
+
+    @_EXAMPLES
+    @given(malformed.variants(desired_state()))
+    def test_desired_state(self, body):
+        """Guards against exceptions for one value in a desired state."""
+        record = decode_record("op/config", malformed.to_json(body))
+        self.assertIsInstance(record, DesiredState | Unreadable)
+
+    @_EXAMPLES
+    @given(malformed.variants(msgspec.json.decode(server_entry())))
+    def test_server(self, body):
+        """Guards against exceptions for one value of a server."""
+        record = decode_record("servers/a", malformed.to_json(body))
+        self.assertIsInstance(record, Server | Unreadable)
+
+    @_EXAMPLES
+    @given(malformed.variants(settings_body()))
+    def test_settings(self, body):
+        """Guards against exceptions without a code for the settings."""
+        try:
+            decode_settings(malformed.to_json(body).decode())
+        except ChiverunError:
+            pass
+
+
+class StoreBodyTest(unittest.TestCase):
+    @_EXAMPLES
+    @given(malformed.variants(_STORE_BODY))
+    def test_rows(self, body):
+        """Guards against a store response that ends the reader."""
+        with logbook.NullHandler().applicationbound():
+            for name in ("items", "events"):
+                try:
+                    checked = store_module.decode_body(
+                        malformed.to_json(body), "/x"
+                    )
+                    rows = store_module.valid_rows(checked, name)
+                except CatalogUnavailable:
+                    continue
+                for row in rows:
+                    store_module.decode_item(row)
+
+
+class PeerMessageTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.follower = CatalogFollower(
+            me=make_machine("m5"),
+            boot_id="l1",
+            store=FakeStore(),
+            peers=FakePeers(),
+            seeds=(),
+            on_change=lambda: None,
+        )
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+
+    def _receive(self, data: bytes) -> None:
+        for payload in (data, b"\x00" + data, b"\x01" + data):
+            self.follower._receive(payload)
+
+    async def test_bytes(self):
+        """Guards against a message of another program."""
+
+        @_EXAMPLES
+        @given(malformed.RANDOM_BYTES)
+        def check(data: bytes) -> None:
+            self._receive(data)
+
+        check()
+        self._receive(malformed.DEEP_MSGPACK)
+
+    @params(*_MESSAGES)
+    async def test_fields(self, message):
+        """Guards against one field that ends the follower."""
+        body = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
+
+        @_EXAMPLES
+        @given(malformed.variants(body))
+        def check(variant: object) -> None:
+            self._receive(malformed.to_msgpack(variant))
+            self.follower.send_heartbeats()
+            self.follower.table.live(0.0)
+
+        check()
+
+    @params(*_MESSAGES)
+    async def test_cut_and_changed_bytes(self, message):
+        """Guards against a damaged message."""
+
+        @_EXAMPLES
+        @given(malformed.cut_or_flipped(edgemessages.encode(message)))
+        def check(payload: bytes) -> None:
+            self.follower._receive(payload)
+            self.follower.send_heartbeats()
+
+        check()
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -86,3 +86,27 @@
         )
         with self.assertRaises(ChiverunError):
             other.start(self._receive)
+
+    def test_failed_receiver_does_not_end_the_transport(self) -> None:
+        """Guards against one message that makes an instance deaf."""
+
+        def receive(data: bytes) -> None:
+            if data == b"bad":
+                raise RuntimeError("fault")
+            self._receive(data)
+
+        self.receiver.start(receive)
+        for data in (b"bad", b"good"):
+            self.sender.send(self._peer_address, data)
+        self._wait_for_messages(1)
+        self.assertEqual([b"good"], self._received)
+
+    def test_invalid_address_does_not_end_the_transport(self) -> None:
+        """Guards against one address in a message that stops all sending."""
+        self.receiver.start(self._receive)
+        for address in ("", "x", "::::", "1.2.3.4:x", "a\0b:1", "\udcff:1"):
+            self.sender.send(address, b"lost")
+        self.sender.send(self._peer_address, b"good")
+        self._wait_for_messages(1)
+        self.assertEqual([b"good"], self._received)
+        self.assertGreaterEqual(self.sender.messages_dropped, 5)
--- a/tests/runtime/test_follower.py
+++ b/tests/runtime/test_follower.py
@@ -23,7 +23,7 @@
 _STATE = DesiredState(version=1, routes=(), services=(), limits=ClientLimits())
 
 
-def _machine(name: str) -> Machine:
+def make_machine(name: str) -> Machine:
     return Machine(
         name=name,
         peer=f"10.0.0.{name[1:]}:1",
@@ -33,7 +33,7 @@
     )
 
 
-def _server(name: str) -> Server:
+def make_server(name: str) -> Server:
     return Server(
         name=name,
         service="mill",
@@ -57,7 +57,7 @@
     return [(item.key, item.record) for item in update.items]
 
 
-class _Store:
+class FakeStore:
     """Answers calls from a script; raises scripted exceptions."""
 
     def __init__(self) -> None:
@@ -82,7 +82,7 @@
         return reply
 
 
-class _Peers:
+class FakePeers:
     def __init__(self) -> None:
         self.sent: list[tuple[str, object]] = []
 
@@ -92,13 +92,13 @@
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.store = _Store()
-        self.peers = _Peers()
+        self.store = FakeStore()
+        self.peers = FakePeers()
         self.logs = logbook.TestHandler()
         self.logs.push_application()
         self.addCleanup(self.logs.pop_application)
         self.follower = CatalogFollower(
-            me=_machine("m5"),
+            me=make_machine("m5"),
             boot_id="l1",
             store=self.store,
             peers=self.peers,
@@ -117,9 +117,9 @@
     async def _load_catalog(self) -> None:
         records = [
             ("op/config", 2, _STATE),
-            ("servers/a", 3, _server("a")),
-            ("chiverun/machines/m5", 4, _machine("m5")),
-            ("chiverun/machines/m1", 5, _machine("m1")),
+            ("servers/a", 3, make_server("a")),
+            ("chiverun/machines/m5", 4, make_machine("m5")),
+            ("chiverun/machines/m1", 5, make_machine("m1")),
         ]
         await self._read_once(Changes(items=_items(*records), as_of=5))
 
@@ -173,7 +173,7 @@
         await self._read_once(HistoryCompacted())
         listing = [
             ("op/config", 2, _STATE),
-            ("chiverun/machines/m5", 4, _machine("m5")),
+            ("chiverun/machines/m5", 4, make_machine("m5")),
         ]
         await self._read_once(Changes(items=_items(*listing), as_of=9))
         self.assertEqual(self.store.calls[-1], "read_all")
@@ -188,7 +188,7 @@
     async def test_missed_update_triggers_a_pull(self) -> None:
         await self._load_catalog()
         heartbeat = Heartbeat(
-            machine=_machine("m1"),
+            machine=make_machine("m1"),
             boot_id="l9",
             leaving=False,
             reads_store=True,
@@ -245,10 +245,10 @@
         """
         await self._load_catalog()
         relay = CatalogFollower(
-            me=_machine("m1"),
+            me=make_machine("m1"),
             boot_id="l2",
-            store=_Store(),
-            peers=_Peers(),
+            store=FakeStore(),
+            peers=FakePeers(),
             seeds=(),
             on_change=lambda: None,
         )
@@ -256,8 +256,8 @@
             Changes(
                 items=_items(
                     ("op/config", 2, _STATE),
-                    ("chiverun/machines/m1", 5, _machine("m1")),
-                    ("servers/b", 8, _server("b")),
+                    ("chiverun/machines/m1", 5, make_machine("m1")),
+                    ("servers/b", 8, make_server("b")),
                 ),
                 as_of=8,
             )
@@ -277,7 +277,7 @@
         await self._load_catalog()
         self._receive(
             Heartbeat(
-                machine=_machine("m1"),
+                machine=make_machine("m1"),
                 boot_id="l9",
                 leaving=False,
                 reads_store=True,
@@ -295,7 +295,7 @@
         await self._read_once(CatalogUnavailable("down"))
         self.assertFalse(self.follower.is_current)
         items = _items(
-            ("op/config", 2, _STATE), ("servers/a", 3, _server("a"))
+            ("op/config", 2, _STATE), ("servers/a", 3, make_server("a"))
         )
         self._receive(Snapshot(as_of=5, items=items))
         self.assertTrue(self.follower.is_current)
