--- /dev/null
+++ b/tests/runtime/test_sending.py
@@ -0,0 +1,206 @@
+"""Tests of sends to backend servers that repeat, mix up or lose responses."""
+
+import asyncio
+import contextlib
+import unittest
+
+from chiverun.core.bytebudget import ByteBudget
+from chiverun.core.catalog import Server
+from chiverun.core.catalog import ServerState
+from chiverun.core.exchange import Answered
+from chiverun.core.exchange import Mismatched
+from chiverun.core.exchange import NotSent
+from chiverun.core.exchange import Shed
+from chiverun.core.health import ServerHealth
+from chiverun.core.sendbudget import ColdLimit
+from chiverun.integrations.asyncserver import IncomingRequest
+from chiverun.platform.headercodec import PlatformHeaderCodec
+from chiverun.runtime.sending import CHOICE_VALID_S
+from chiverun.runtime.sending import Sender
+from chiverun.runtime.sending import SendResult
+from chiverun.runtime.servertable import ServerRow
+
+_TIMEOUT_S = 20.0
+_PAUSE_S = 0.05
+
+
+def _response(
+    number: int, *, status: str = "200 OK", extra: str = ""
+) -> bytes:
+    """Return a stamped response to request `number`."""
+    body = f"body {number}"
+    return (
+        f"HTTP/1.1 {status}\r\nX-Chiverun-Request-Id: r{number}\r\n"
+        f"X-Chiverun-Response-Stamp: s{number}\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def _without_id(response: bytes) -> bytes:
+    lines = response.split(b"\r\n")
+    return b"\r\n".join(x for x in lines if b"Request-Id" not in x)
+
+
+_COPY = _response(1)
+_SHED_1 = _response(1, status="503 Full", extra="X-Chiverun-Not-Run: full\r\n")
+# What the server sends after the second request on a used connection; a
+# number is a pause in seconds. Before it, the connection had request 1.
+_SECOND = {
+    "copy before": [_COPY + _response(2)],
+    "copy before, in pieces": [
+        _COPY[:30],
+        _PAUSE_S,
+        _COPY[30:-2],
+        _PAUSE_S,
+        _COPY[-2:] + _response(2),
+    ],
+    "copy after": [_response(2) + _COPY],
+    "copy after, late": [_response(2), _PAUSE_S, _COPY],
+    "copy after, half": [_response(2) + _COPY[:40]],
+    "copy without id": [_without_id(_COPY) + _response(2)],
+    "failure without id": [
+        _without_id(_response(1, status="500 Error")) + _response(2)
+    ],
+    "refusal without id": [_without_id(_SHED_1) + _response(2)],
+    "refusal of 1": [_SHED_1 + _response(2)],
+    "only a copy": [_COPY],
+    "copies": [_COPY * 3 + _response(2)],
+}
+
+
+class SendingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.sender = Sender(
+            header_codec=PlatformHeaderCodec(), memory=ByteBudget()
+        )
+        self.loop = asyncio.get_running_loop()
+        self.requests_read = 0
+
+    async def _start(self, second: list, idle: list) -> ServerRow:
+        """Start a server and return the row of it.
+
+        Its first connection answers request 1, sends `idle`, and then
+        `second` after the next request. Others answer properly.
+        """
+        connections = []
+
+        async def handle(reader, writer) -> None:
+            connections.append(writer)
+            is_first = len(connections) == 1
+            scripts = [[_response(1), *idle], second] if is_first else None
+            with contextlib.suppress(ConnectionError, EOFError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    self.requests_read += 1
+                    script = [_answer_to(head)]
+                    if scripts is not None:
+                        script = scripts.pop(0) if scripts else []
+                    await _play(script, writer)
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{port}"
+        return ServerRow(
+            server=Server(
+                name="s",
+                service="v",
+                address=address,
+                zone="z",
+                slots=4,
+                state=ServerState.READY,
+                cold_left_s=0.0,
+                started_ms=1,
+            ),
+            region="r",
+            health=ServerHealth(name="s", address=address),
+            cold=ColdLimit(server="s", machine="m"),
+        )
+
+    async def _send(
+        self, row: ServerRow, number: int, *, age_s: float = 0.0
+    ) -> SendResult:
+        incoming = IncomingRequest(
+            method="GET",
+            target="/a",
+            headers=[
+                ("Host", "x"),
+                ("X-Chiverun-Request-Id", f"r{number}"),
+            ],
+            body=b"",
+            arrived_at=self.loop.time(),
+        )
+        return await self.sender.send(
+            row,
+            incoming,
+            PlatformHeaderCodec().request_metadata(incoming),
+            repeatable=True,
+            deadline=self.loop.time() + 0.6,
+            typical_s=0.1,
+            chosen_at=self.loop.time() - age_s,
+        )
+
+    def _assert_own(self, result: SendResult, number: int) -> None:
+        """Check that a response is the request's own, if there is one."""
+        if isinstance(result.end, Answered):
+            self.assertEqual(f"body {number}".encode(), result.end.body)
+        self.assertNotIsInstance(result.end, Shed)
+
+    async def test_second_copy_on_a_used_connection(self) -> None:
+        """Guards against the response of an earlier request."""
+        for name, second in _SECOND.items():
+            with self.subTest(name):
+                row = await self._start(second, [])
+                first = await self._send(row, 1)
+                self.assertEqual(b"body 1", first.end.body)
+                self._assert_own(await self._send(row, 2), 2)
+                await asyncio.sleep(2 * _PAUSE_S)
+                third = await self._send(row, 3)
+                self.assertEqual(b"body 3", third.end.body)
+
+    async def test_second_copy_between_two_requests(self) -> None:
+        """Guards against a copy that arrives while the connection is idle."""
+        for idle in ([_COPY], [_PAUSE_S, _COPY], [_COPY[:9]]):
+            with self.subTest(idle=idle):
+                row = await self._start([_response(2)], idle)
+                self._assert_own(await self._send(row, 1), 1)
+                await asyncio.sleep(3 * _PAUSE_S)
+                second = await self._send(row, 2)
+                self.assertEqual(b"body 2", second.end.body)
+                self.assertFalse(any(not conn.reusable for conn in row.idle))
+
+    async def test_response_without_id_on_a_used_connection(self) -> None:
+        """Guards against "not run" from an earlier request's refusal."""
+        row = await self._start([_without_id(_SHED_1)], [])
+        await self._send(row, 1)
+        second = await self._send(row, 2)
+        self.assertIsInstance(second.end, Mismatched)
+        self.assertFalse(second.is_not_run)
+
+    async def test_old_choice_is_not_used(self) -> None:
+        """Guards against acting on a choice from before a pause.
+
+        Its budgets and the catalog that it rests on are out of date.
+        """
+        row = await self._start([], [])
+        result = await self._send(row, 1, age_s=CHOICE_VALID_S + 0.1)
+        self.assertIsInstance(result.end, NotSent)
+        self.assertTrue(result.is_not_run)
+        await asyncio.sleep(_PAUSE_S)
+        self.assertEqual(0, self.requests_read)
+        self.assertEqual(b"body 1", (await self._send(row, 1)).end.body)
+
+
+def _answer_to(head: bytes) -> bytes:
+    number = int(head.partition(b"Id: r")[2].partition(b"\r\n")[0])
+    return _response(number)
+
+
+async def _play(script: list, writer: asyncio.StreamWriter) -> None:
+    for step in script:
+        if isinstance(step, float):
+            await writer.drain()
+            await asyncio.sleep(step)
+        else:
+            writer.write(step)
