Spread news and liveness by hubs of zones

Cause: two machines of a region, the first by name, received the heartbeats of all its machines and sent each change to each of them, most of it between zones; when they fell silent, each machine sent heartbeats to the whole region (65 machines: 4,225 messages each half second).

Change: each zone has two hubs, the strongest machines by processor and link. Machines send heartbeats to them; hubs report what they hear to the two first hubs of the region, of which one reads the store and sends the news to its zone and to the hubs of the other zones, which pass it on. A zone without news reads the store itself, one machine after the other. Hubs probe zones in which they know no live machine, a few machines in turn. A machine that fell silent in a stop is named again when it returns.

--- a/chiverun/core/catalog.py
+++ b/chiverun/core/catalog.py
@@ -120,13 +120,17 @@
 
 
 class Machine(msgspec.Struct, frozen=True, kw_only=True, tag="machine"):
-    """An edge instance; `peer` receives messages and `entry` requests."""
+    """An edge instance; `peer` receives messages and `entry` requests.
+
+    `capacity` is what its processor and link can bear, relative to others.
+    """
 
     name: InstanceId
     peer: Address
     entry: Address
     zone: ZoneName
     region: RegionName
+    capacity: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -15,13 +15,18 @@
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="b"):
     """Heartbeat of an edge instance.
 
-    `reads_store` is whether its last read of the store succeeded.
+    `reads_store` is whether its last read of the store succeeded. `heard`
+    lists the instances of its zone from which a hub receives heartbeats. A
+    hub that knows no live instance of a zone sends a `probe` to some of them,
+    which the hubs of that zone answer.
     """
 
     machine: Machine
     boot_id: BootId = msgspec.field(name="life")
     leaving: bool
     reads_store: bool
+    heard: list[InstanceId] | None = None
+    probe: bool = False
 
 
 class Update(msgspec.Struct, frozen=True, kw_only=True, tag="u"):
@@ -29,7 +34,8 @@
 
     After a full read of the store, deletions of records that the sender never
     had are missing: the message is then `from_listing`, and complete only for
-    a receiver that is exactly at `since`.
+    a receiver that is exactly at `since`. A hub passes on to its zone what
+    comes from another zone, and marks it as `relayed`.
 
     `lapse_left_s` is how long servers whose records are deleted stay in use
     after a store outage. `live` lists the edge instances from which the
@@ -44,6 +50,7 @@
     lapse_left_s: float
     live: list[InstanceId] | None = None
     from_listing: bool = False
+    relayed: bool = False
 
 
 class Pull(msgspec.Struct, frozen=True, kw_only=True, tag="p"):
--- a/chiverun/core/edgesettings.py
+++ b/chiverun/core/edgesettings.py
@@ -41,5 +41,7 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: EdgeBounds
+    # What the processor and the link can bear, relative to other machines.
+    capacity: float = 1.0
     # Memory that the process may use, None if unknown.
     memory_bytes: int | None = None
--- a/chiverun/core/peertable.py
+++ b/chiverun/core/peertable.py
@@ -1,8 +1,11 @@
 """Liveness of edge instances, based on heartbeats.
 
-In each region two machines, the hubs, receive the heartbeats of all other
-machines and distribute the list of live ones. Messages and connections of
-other machines thus do not grow with the number of machines.
+In each zone two machines, the hubs, receive the heartbeats of the others and
+pass on news to them. The two first hubs of a region receive the heartbeats of
+all its hubs, with the machines that these have heard; one of them reads the
+store for the region. So a machine's messages do not grow with the number of
+machines, a hub's only with those of its zone, and between zones only hubs
+talk to each other.
 """
 
 import dataclasses
@@ -10,17 +13,27 @@
 from chiverun.core.catalog import Machine
 from chiverun.core.edgemessages import Heartbeat
 from chiverun.core.ids import InstanceId
+from chiverun.core.ids import ZoneName
 
 HEARTBEAT_PERIOD_S = 0.5
 # Longer than four heartbeat periods, so four heartbeats have been missed.
 SILENT_AFTER_S = 2.2
-# After this time without a message of the relay, machines read the store
-# themselves and send heartbeats to the whole region until it sends again.
+# After this time without a message of the relay, machines of a zone read the
+# store themselves, and send heartbeats to further machines.
 RELAY_SILENT_AFTER_S = 1.0
 # Delay between machines that replace a silent relay, by rank.
 RELAY_RANK_S = 0.1
 RELAY_RANKS_MAX = 8
+HUBS_PER_ZONE = 2
 HUBS_PER_REGION = 2
+# Machines of the own zone that get heartbeats while no relay is heard.
+CANDIDATES = 4
+# Machines of a silent zone that are probed with each heartbeat.
+PROBES = 8
+# For the choice of a region's hubs, machines on the last list of a hub that
+# has fallen silent are taken for live for this long, so that the zones choose
+# the same ones.
+PRESUMED_S = 3.5
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -51,16 +64,20 @@
         self._known: set[InstanceId] = {me.name}
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Record a heartbeat; return whether the machine was silent before."""
+        """Record a heartbeat; return whether the live machines changed."""
         name = heartbeat.machine.name
         if name == self.me.name:
             return False
         row = self.rows.get(name)
-        was_live = row is not None and now - row.heard_at < SILENT_AFTER_S
         self.rows[name] = PeerRow(heartbeat=heartbeat, heard_at=now)
         self._machines.setdefault(name, heartbeat.machine)
         self._known.add(name)
-        return not was_live
+        return (
+            row is None
+            or not _is_fresh(row.heard_at, now)
+            or row.heartbeat.leaving != heartbeat.leaving
+            or row.heartbeat.heard != heartbeat.heard
+        )
 
     def record_live_list(
         self, hub: InstanceId, names: list[InstanceId], now: float
@@ -83,28 +100,37 @@
         """
         return self._known
 
-    def heard_names(self, now: float) -> list[InstanceId]:
-        """Return the machines of the region that recently sent a heartbeat."""
-        return [
-            name
-            for name, row in self.rows.items()
-            if row.heartbeat.machine.region == self.me.region
+    def machine(self, name: InstanceId) -> Machine | None:
+        """Return a registered machine, None if it is not known."""
+        return self._machines.get(name)
+
+    def heard_in_zone(self, now: float) -> list[InstanceId]:
+        """Return the live machines of the zone that were heard directly."""
+        return sorted(
+            row.heartbeat.machine.name
+            for row in self._fresh_rows(now)
+            if row.heartbeat.machine.zone == self.me.zone
             and not row.heartbeat.leaving
-            and now - row.heard_at < SILENT_AFTER_S
-        ]
+        )
+
+    def heard_names(self, now: float) -> set[InstanceId]:
+        """Return the region's machines heard directly or by its hubs."""
+        names: set[InstanceId] = set()
+        for row in self._fresh_rows(now):
+            names.add(row.heartbeat.machine.name)
+            names.update(row.heartbeat.heard or ())
+        return names - self._leaving(now)
 
     def live(self, now: float) -> list[Machine]:
         """Return the live machines of the region, excluding this one."""
-        names = set(self.heard_names(now))
+        names = self.heard_names(now)
         for row in self.lists.values():
-            if now - row.heard_at < SILENT_AFTER_S:
+            if _is_fresh(row.heard_at, now):
                 names |= row.names
-        leaving = {
-            name for name, row in self.rows.items() if row.heartbeat.leaving
-        }
+        names -= self._leaving(now)
         return [
             self._machines[name]
-            for name in sorted(names - leaving - {self.me.name})
+            for name in sorted(names - {self.me.name})
             if name in self._machines
         ]
 
@@ -117,6 +143,11 @@
             and machine.name != self.me.name
         ]
 
+    def zone_machines(self) -> list[Machine]:
+        """Return all known machines of the zone, excluding this one."""
+        zone = self.me.zone
+        return [m for m in self.region_machines() if m.zone == zone]
+
     def remote_machines(self) -> list[Machine]:
         """Return the known machines of other regions."""
         return [
@@ -125,53 +156,156 @@
             if machine.region != self.me.region
         ]
 
-    def hubs(self, now: float) -> list[InstanceId]:
+    def zone_hubs(self, now: float) -> list[Machine]:
+        """Return the hubs of the zone, possibly including this machine."""
+        names = None
+        if any(_is_fresh(row.heard_at, now) for row in self.lists.values()):
+            names = {machine.name for machine in self.live(now)}
+        return self._first(self.zone_machines(), names)[:HUBS_PER_ZONE]
+
+    def region_hubs(self, now: float) -> list[Machine]:
         """Return the hubs of the region, possibly including this machine."""
-        live = {machine.name for machine in self.live(now)}
-        names = sorted(
-            machine.name
-            for machine in self.region_machines()
-            if machine.name in live or not self._is_listed(now)
-        )
-        return sorted([*names, self.me.name])[:HUBS_PER_REGION]
+        names = self._presumed(now)
+        if names is not None:
+            names |= {machine.name for machine in self.live(now)}
+        return self._first(self.region_machines(), names)[:HUBS_PER_REGION]
 
     def is_reader(self, now: float, reads_store: bool) -> bool:
         """Return whether this machine reads the store for its region.
 
-        The reader is the hub with the lowest name whose reads succeed.
+        The reader is the first hub of the region whose reads succeed.
         """
-        if self.me.name not in self.hubs(now):
+        hubs = self.region_hubs(now)
+        if self.me not in hubs:
             return False
+        rows = {
+            row.heartbeat.machine.name: row for row in self._fresh_rows(now)
+        }
         readers = [
-            name
-            for name in self.heard_names(now)
-            if self.rows[name].heartbeat.reads_store
+            hub
+            for hub in hubs
+            if hub.name in rows
+            and rows[hub.name].heartbeat.reads_store
+            and not rows[hub.name].heartbeat.leaving
         ]
         if not readers:
             return True
-        return reads_store and self.me.name < min(readers)
+        return reads_store and _rank(self.me) < _rank(readers[0])
 
     def is_relay_silent(self, now: float) -> bool:
-        """Return whether this machine must replace the relay."""
-        names = sorted(
-            [m.name for m in self.region_machines()] + [self.me.name]
-        )
-        rank = min(RELAY_RANKS_MAX, names.index(self.me.name))
+        """Return whether this machine must replace the relay in its zone."""
+        machines = sorted([*self.zone_machines(), self.me], key=_rank)
+        rank = min(RELAY_RANKS_MAX, machines.index(self.me))
         limit_s = RELAY_SILENT_AFTER_S + rank * RELAY_RANK_S
         return now - self.relay_heard_at > limit_s
 
-    def heartbeat_targets(self, now: float) -> list[Machine]:
+    def heartbeat_targets(self, now: float, leaving: bool) -> list[Machine]:
         """Return the machines to send heartbeats to."""
+        hubs = self.zone_hubs(now)
+        targets = {hub.name: hub for hub in hubs}
+        if self.me in hubs or leaving:
+            targets.update((hub.name, hub) for hub in self.region_hubs(now))
         if now - self.relay_heard_at > RELAY_SILENT_AFTER_S:
-            return self.region_machines()
-        hubs = self.hubs(now)
+            nearest = sorted(self.zone_machines(), key=_rank)[:CANDIDATES]
+            targets.update((machine.name, machine) for machine in nearest)
+        targets.pop(self.me.name, None)
+        return list(targets.values())
+
+    def probe_targets(self, now: float) -> list[Machine]:
+        """Return machines of zones in which none is known to live.
+
+        They are others with each heartbeat, so that a zone is found whichever
+        of its machines live.
+        """
+        targets = []
+        for machines in self._silent_zones(now).values():
+            first = int(now / HEARTBEAT_PERIOD_S) * PROBES
+            count = min(PROBES, len(machines))
+            targets += [
+                machines[(first + i) % len(machines)] for i in range(count)
+            ]
+        return targets
+
+    def relay_targets(self, now: float, *, is_reader: bool) -> list[Machine]:
+        """Return the machines that this one sends the store's news to.
+
+        The reader of the region also sends it to the hubs of other zones.
+        """
+        targets = self.zone_machines()
+        if not is_reader:
+            return targets
+        live = {machine.name for machine in self.live(now)}
+        for machines in self._other_zones().values():
+            hubs = [machine for machine in machines if machine.name in live]
+            targets += hubs[:HUBS_PER_ZONE]
+        return targets
+
+    def passes_on(self, sender: InstanceId, now: float) -> bool:
+        """Return whether this machine passes on a sender's news."""
+        machine = self._machines.get(sender)
+        if machine is None or machine.zone == self.me.zone:
+            return False
+        return self.zone_hubs(now)[0] == self.me
+
+    def _other_zones(self) -> dict[ZoneName, list[Machine]]:
+        """Return the machines of the region's other zones by rank."""
+        zones: dict[ZoneName, list[Machine]] = {}
+        for machine in sorted(self.region_machines(), key=_rank):
+            if machine.zone != self.me.zone:
+                zones.setdefault(machine.zone, []).append(machine)
+        return zones
+
+    def _silent_zones(self, now: float) -> dict[ZoneName, list[Machine]]:
+        live = {machine.zone for machine in self.live(now)}
+        return {
+            zone: machines
+            for zone, machines in self._other_zones().items()
+            if zone not in live
+        }
+
+    def _first(
+        self, machines: list[Machine], names: set[InstanceId] | None
+    ) -> list[Machine]:
+        """Return the named machines and this one, the first by rank first.
+
+        With None, while no hub has told which ones live, all count.
+        """
+        if names is not None:
+            machines = [m for m in machines if m.name in names]
+        return sorted([*machines, self.me], key=_rank)
+
+    def _presumed(self, now: float) -> set[InstanceId] | None:
+        """Return the machines on recent lists, without silent senders."""
+        names: set[InstanceId] | None = None
+        silent = set()
+        for sender, row in self.lists.items():
+            if now - row.heard_at < PRESUMED_S:
+                names = (names or set()) | row.names
+            if not _is_fresh(row.heard_at, now):
+                silent.add(sender)
+        return None if names is None else names - silent
+
+    def _fresh_rows(self, now: float) -> list[PeerRow]:
+        """Return the rows of the region with a recent heartbeat."""
         return [
-            machine
-            for machine in self.region_machines()
-            if machine.name in hubs
+            row
+            for row in self.rows.values()
+            if row.heartbeat.machine.region == self.me.region
+            and _is_fresh(row.heard_at, now)
         ]
 
-    def _is_listed(self, now: float) -> bool:
-        return any(
-            now - row.heard_at < SILENT_AFTER_S for row in self.lists.values()
-        )
+    def _leaving(self, now: float) -> set[InstanceId]:
+        return {
+            row.heartbeat.machine.name
+            for row in self._fresh_rows(now)
+            if row.heartbeat.leaving
+        }
+
+
+def _is_fresh(heard_at: float, now: float) -> bool:
+    return now - heard_at < SILENT_AFTER_S
+
+
+def _rank(machine: Machine) -> tuple[float, InstanceId]:
+    """Return the sort key of machines: strong ones come first."""
+    return (-machine.capacity, machine.name)
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -17,6 +17,8 @@
 from chiverun.platform import values
 
 PATH_VARIABLE = "CHIVERUN_CONFIG"
+# Link that a machine with one core needs to be limited by its core alone.
+LINK_MBPS_PER_CORE = 100.0
 
 # Maps the platform's names of bounds to fields of `EdgeBounds`. The values of
 # durations have a unit.
@@ -93,15 +95,16 @@
         seeds=tuple(Address(str(seed)) for seed in seeds),
         store=_decode_address(values.field(body, "platform", dict), "address"),
         bounds=_decode_bounds(values.field(body, "bounds", list)),
+        capacity=_decode_capacity(body.get("limits") or {}),
         memory_bytes=_decode_memory(body.get("limits") or {}),
     )
 
 
 def _decode_memory(limits: Any) -> int | None:
     """Return the memory of a process; missing or 0 means no known limit."""
-    if not isinstance(limits, dict) or not limits.get("memoryMb"):
+    if not isinstance(limits, dict):
         return None
-    return int(values.number(limits, "memoryMb") * 1024 * 1024)
+    return int(_decode_number(limits, "memoryMb") * 1024 * 1024) or None
 
 
 def _decode_address(body: dict, name: str) -> Address:
@@ -126,3 +129,20 @@
             else float(text)
         )
     return dataclasses.replace(EdgeBounds(), **overrides)
+
+
+def _decode_capacity(limits: Any) -> float:
+    """Return the lesser of processor and link, relative to a full core."""
+    if not isinstance(limits, dict):
+        return 1.0
+    cores = _decode_number(limits, "cpuShare") * max(
+        1.0, _decode_number(limits, "cores")
+    )
+    link = _decode_number(limits, "linkMbps") / LINK_MBPS_PER_CORE
+    known = [value for value in (cores, link) if value > 0]
+    return round(min(known), 3) if known else 1.0
+
+
+def _decode_number(body: dict, name: str) -> float:
+    """Return a number, 0 if it is missing."""
+    return values.number(body, name) if body.get(name) else 0.0
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -78,6 +78,7 @@
             entry=cfg.entry,
             zone=cfg.zone,
             region=cfg.region,
+            capacity=cfg.capacity,
         )
         self.follower = CatalogFollower(
             me=self._me,
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -1,13 +1,15 @@
 """Keeps the catalog replica current, from the store or from peers.
 
-In each region one machine reads the store and relays changes; the others
-read only when the relay falls silent. A machine whose store reads fail pulls
-changes from peers.
+In each region one machine reads the store and sends changes to its zone and to
+the hubs of the other zones, which pass them on. Machines of a zone read only
+when this falls silent there. A machine whose store reads fail pulls changes
+from peers.
 """
 
 import asyncio
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 
 import logbook
 import msgspec
@@ -23,6 +25,7 @@
 from chiverun.core.edgemessages import Update
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
+from chiverun.core.ids import InstanceId
 from chiverun.core.peertable import HEARTBEAT_PERIOD_S
 from chiverun.core.peertable import PeerTable
 from chiverun.core.replica import Evacuation
@@ -81,6 +84,8 @@
         self._lapse_until = float("-inf")
         self._live_list_sent_at = float("-inf")
         self._live_list_changed = True
+        # Reads the store for the region, or only for a zone without news.
+        self._is_reader = False
         self._is_relay = False
         self._has_read = False
 
@@ -130,28 +135,44 @@
 
     def send_heartbeats(self) -> None:
         """Send a heartbeat to the machines that expect it."""
+        now = self._loop.time()
+        targets = self.table.heartbeat_targets(now, self.leaving)
+        addresses = {machine.peer for machine in targets}
+        if not addresses and not self.table.region_machines():
+            addresses = set(self._seeds)
+        self._send_heartbeat(addresses)
+        if self._is_hub():
+            probed = self.table.probe_targets(now)
+            self._send_heartbeat({m.peer for m in probed}, probe=True)
+
+    def _send_heartbeat(
+        self, addresses: Collection[Address], *, probe: bool = False
+    ) -> None:
+        if not addresses:
+            return
+        heard = self.table.heard_in_zone(self._loop.time())
         message = edgemessages.encode(
             Heartbeat(
                 machine=self._me,
                 boot_id=self._boot_id,
                 leaving=self.leaving,
                 reads_store=self._reads_store,
+                heard=heard if self._is_hub() else None,
+                probe=probe,
             )
         )
-        targets = self.table.heartbeat_targets(self._loop.time())
-        addresses = {machine.peer for machine in targets}
-        if not addresses:
-            addresses = set(self._seeds)
         for address in addresses:
             self._peers.send(address, message)
 
+    def _is_hub(self) -> bool:
+        return self._me in self.table.zone_hubs(self._loop.time())
+
     def _must_read(self) -> bool:
         now = self._loop.time()
         if not self._has_read and not self.is_current:
             return True
-        self._is_relay = self.table.is_reader(
-            now, self._reads_store
-        ) or self.table.is_relay_silent(now)
+        self._is_reader = self.table.is_reader(now, self._reads_store)
+        self._is_relay = self._is_reader or self.table.is_relay_silent(now)
         return self._is_relay
 
     async def _read(self) -> None:
@@ -255,8 +276,9 @@
         ):
             self._live_list_sent_at = now
             self._live_list_changed = False
-            live = [*self.table.heard_names(now)]
-            live += [] if self.leaving else [self._me.name]
+            names = self.table.heard_names(now) - {self._me.name}
+            live = sorted(names | (set() if self.leaving else {self._me.name}))
+            self.table.record_live_list(self._me.name, live, now)
         message = edgemessages.encode(
             Update(
                 sender=self._me.name,
@@ -269,7 +291,16 @@
                 from_listing=from_listing,
             )
         )
-        for machine in self.table.region_machines():
+        targets = self.table.relay_targets(now, is_reader=self._is_reader)
+        for machine in targets:
+            self._peers.send(machine.peer, message)
+
+    def _pass_on(self, update: Update) -> None:
+        """Send the news of another zone's reader to the own zone."""
+        message = edgemessages.encode(
+            msgspec.structs.replace(update, relayed=True)
+        )
+        for machine in self.table.zone_machines():
             self._peers.send(machine.peer, message)
 
     def _pull(self) -> None:
@@ -310,31 +341,42 @@
                     self._needs_full_read = False
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        row = self.table.rows.get(heartbeat.machine.name)
-        was_leaving = row is not None and row.heartbeat.leaving
-        is_new = self.table.record_heartbeat(heartbeat, self._loop.time())
-        if is_new or was_leaving != heartbeat.leaving:
-            self._live_list_changed = True
-            _LOG.info(
-                "machine heard",
-                extra={
-                    "machine": heartbeat.machine.name,
-                    "life": heartbeat.boot_id,
-                    "leaving": heartbeat.leaving,
-                },
-            )
+        now = self._loop.time()
+        if heartbeat.probe and heartbeat.machine.zone != self._me.zone:
+            self._answer_probe(heartbeat)
+        names_before = self.table.heard_names(now)
+        if not self.table.record_heartbeat(heartbeat, now):
+            return
+        names = self.table.heard_names(now)
+        if names == names_before:
+            return
+        self._live_list_changed = True
+        _LOG.info(
+            "live machines changed",
+            extra={
+                "machine": heartbeat.machine.name,
+                "life": heartbeat.boot_id,
+                "leaving": heartbeat.leaving,
+                "heard": sorted(names - names_before),
+                "gone": sorted(names_before - names),
+            },
+        )
+
+    def _answer_probe(self, probe: Heartbeat) -> None:
+        """Answer as a hub, or let the hubs of the zone answer."""
+        if self._is_hub():
+            self._send_heartbeat([probe.machine.peer])
+            return
+        message = edgemessages.encode(probe)
+        for hub in self.table.zone_hubs(self._loop.time()):
+            self._peers.send(hub.peer, message)
 
     def _handle_update(self, update: Update) -> None:
         now = self._loop.time()
+        if not update.relayed and self.table.passes_on(update.sender, now):
+            self._pass_on(update)
         if _is_incomplete(update, self.replica.as_of):
-            row = self.table.rows.get(update.sender)
-            if row is not None:
-                self._peers.send(
-                    row.heartbeat.machine.peer,
-                    edgemessages.encode(
-                        Pull(reply_to=self._me.peer, as_of=self.replica.as_of)
-                    ),
-                )
+            self._pull_from(update.sender)
             return
         self.table.relay_heard_at = now
         if update.live is not None:
@@ -351,6 +393,20 @@
             self._needs_full_read = False
         self._publish_changes(changed, f"peer {update.sender}")
 
+    def _pull_from(self, sender: InstanceId) -> None:
+        """Ask for missed changes in the own zone, or their sender."""
+        hubs = self.table.zone_hubs(self._loop.time())
+        machine = self.table.machine(sender)
+        if machine is None or machine.zone != self._me.zone:
+            machine = next((hub for hub in hubs if hub != self._me), machine)
+        if machine is not None:
+            self._peers.send(
+                machine.peer,
+                edgemessages.encode(
+                    Pull(reply_to=self._me.peer, as_of=self.replica.as_of)
+                ),
+            )
+
     def _handle_pull(self, pull: Pull) -> None:
         if self.replica.as_of <= pull.as_of or not self.is_current:
             return
--- /dev/null
+++ b/tests/runtime/fleet.py
@@ -0,0 +1,210 @@
+"""A fleet of catalog followers on a simulated network and clock."""
+
+import collections
+import random
+from unittest import mock
+
+from chiverun.core import edgemessages
+from chiverun.core.catalog import ClientLimits
+from chiverun.core.catalog import DesiredState
+from chiverun.core.catalog import Machine
+from chiverun.core.peertable import HEARTBEAT_PERIOD_S
+from chiverun.core.replica import VersionedRecord
+from chiverun.integrations.catalogstore import CatalogUnavailable
+from chiverun.integrations.catalogstore import Changes
+from chiverun.runtime.follower import CatalogFollower
+from chiverun.runtime.follower import READ_PAUSE_S
+
+STEP_S = 0.05
+_LATENCY_S = 0.05
+
+
+class _Clock:
+    """Takes the place of the event loop."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def time(self) -> float:
+        return self.now
+
+
+class _SharedStore:
+    """A store with a change log, as all machines see it."""
+
+    def __init__(self) -> None:
+        self.log: list[VersionedRecord] = []
+        self.calls = 0
+
+    @property
+    def revision(self) -> int:
+        return len(self.log) + 1
+
+    def write(self, key: str, record: object) -> None:
+        self.log.append(
+            VersionedRecord(key=key, revision=self.revision + 1, record=record)
+        )
+
+
+class _StoreClient:
+    """The store as one machine reaches it."""
+
+    def __init__(self, *, store: _SharedStore) -> None:
+        self._store = store
+        self.reachable = True
+
+    def _call(self) -> None:
+        self._store.calls += 1
+        if not self.reachable:
+            raise CatalogUnavailable("cut")
+
+    async def read_all(self) -> Changes:
+        self._call()
+        latest = {item.key: item for item in self._store.log}
+        items = [item for item in latest.values() if item.record is not None]
+        return Changes(items=items, as_of=self._store.revision)
+
+    async def changes_since(self, revision: int, wait_s: float) -> Changes:
+        self._call()
+        items = [item for item in self._store.log if item.revision > revision]
+        return Changes(items=items, as_of=self._store.revision)
+
+    async def register(self, machine: Machine, known_revision: int) -> bool:
+        self._call()
+        self._store.write(f"chiverun/machines/{machine.name}", machine)
+        return True
+
+
+class Fleet:
+    """Machines by name; `cut` holds pairs of zones without a link."""
+
+    def __init__(self, *, zones: tuple[str, ...], machines: int) -> None:
+        self.clock = _Clock()
+        self.store = _SharedStore()
+        self.store.write("op/config", desired_state(1))
+        self.followers: dict[str, CatalogFollower] = {}
+        self.clients: dict[str, _StoreClient] = {}
+        self.machines: dict[str, Machine] = {}
+        self.down: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        # Messages between two zones, by sender.
+        self.sent_between: collections.Counter[str] = collections.Counter()
+        self.sent: collections.Counter[str] = collections.Counter()
+        self._in_flight: list[tuple[float, str, bytes]] = []
+        self._due: dict[str, list[float]] = {}
+        self._by_address: dict[str, str] = {}
+        self._rng = random.Random(1)
+        for zone in zones:
+            for number in range(machines):
+                self._add(zone, number)
+
+    def _add(self, zone: str, number: int) -> None:
+        name = f"{zone}-{number:03d}"
+        machine = Machine(
+            name=name,
+            peer=f"peer-{name}",
+            entry=f"entry-{name}",
+            zone=zone,
+            region="r",
+        )
+        self.machines[name] = machine
+        self._by_address[machine.peer] = name
+        self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a machine, or start it again without any state."""
+        self.down.discard(name)
+        client = _StoreClient(store=self.store)
+        with mock.patch("asyncio.get_running_loop", return_value=self.clock):
+            follower = CatalogFollower(
+                me=self.machines[name],
+                boot_id=f"life-{self.clock.now}",
+                store=client,
+                peers=_Sender(fleet=self, name=name),
+                seeds=(),
+                on_change=lambda: None,
+            )
+        self.clients[name] = client
+        self.followers[name] = follower
+        start_at = self.clock.now + 0.3 * self._rng.random()
+        self._due[name] = [start_at, start_at]
+
+    def post(self, sender: str, address: str, payload: bytes) -> None:
+        """Send a message, which is lost where the link is cut."""
+        receiver = self._by_address[address]
+        zones = {self.machines[sender].zone, self.machines[receiver].zone}
+        self.sent[sender] += 1
+        if len(zones) > 1:
+            self.sent_between[sender] += 1
+        if frozenset(zones) not in self.cut and receiver not in self.down:
+            arrives_at = self.clock.now + _LATENCY_S
+            self._in_flight.append((arrives_at, receiver, payload))
+
+    def run(self, seconds: float) -> None:
+        """Advance the clock and run all machines."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.now += STEP_S
+            self._deliver()
+            for name, follower in self.followers.items():
+                if name not in self.down:
+                    self._run_machine(name, follower)
+
+    def _deliver(self) -> None:
+        due = [row for row in self._in_flight if row[0] <= self.clock.now]
+        self._in_flight = [
+            row for row in self._in_flight if row[0] > self.clock.now
+        ]
+        for _, receiver, payload in due:
+            if receiver not in self.down:
+                self.followers[receiver]._receive(payload)
+
+    def _run_machine(self, name: str, follower: CatalogFollower) -> None:
+        due = self._due[name]
+        if self.clock.now >= due[0]:
+            due[0] = self.clock.now + HEARTBEAT_PERIOD_S
+            follower.send_heartbeats()
+        if self.clock.now >= due[1] and follower._must_read():
+            due[1] = self.clock.now + READ_PAUSE_S
+            try:
+                follower._read().send(None)
+            except StopIteration:
+                pass
+            except CatalogUnavailable as exc:
+                follower._record_failure(exc)
+                follower._pull()
+
+    def versions(self) -> set[int]:
+        """Return the desired states in force on the live machines."""
+        return {
+            follower.replica.desired_state().version
+            for name, follower in self.followers.items()
+            if name not in self.down
+        }
+
+    def named_by(self, name: str) -> set[str]:
+        """Return the machines that a machine takes for live."""
+        live = self.followers[name].table.live(self.clock.now)
+        return {machine.name for machine in live} | {name}
+
+    def alive(self) -> set[str]:
+        """Return the machines that run."""
+        return set(self.followers) - self.down
+
+
+class _Sender:
+    """The transport of one machine."""
+
+    def __init__(self, *, fleet: Fleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+
+    def send(self, address: str, payload: bytes) -> None:
+        edgemessages.decode(payload)
+        self._fleet.post(self._name, address, payload)
+
+
+def desired_state(version: int) -> DesiredState:
+    """Return an empty desired state."""
+    return DesiredState(
+        version=version, routes=(), services=(), limits=ClientLimits()
+    )
