Share the rate of a cold server among the machines of its zone

Cause: the few sends a second that a cold server bears were divided over all machines, of which 10 of 195 could send to it; the others moved its keys to servers where they ran cold.

Change: only the machines of the server's zone share its rate, since requests go to servers of the own zone first; a zone without machines is shared by all. A machine that is not among those that share sends nothing.

Result: tests.runtime.test_selection and tests.core.test_sendbudget pass, two of the new ones red before.

--- a/chiverun/core/peertable.py
+++ b/chiverun/core/peertable.py
@@ -100,6 +100,10 @@
         """
         return self._known
 
+    def known_in(self, zone: ZoneName) -> set[InstanceId]:
+        """Return the names of all machines ever known in a zone."""
+        return {m.name for m in self._machines.values() if m.zone == zone}
+
     def machine(self, name: InstanceId) -> Machine | None:
         """Return a registered machine, None if it is not known."""
         return self._machines.get(name)
--- a/chiverun/core/sendbudget.py
+++ b/chiverun/core/sendbudget.py
@@ -100,4 +100,6 @@
                 key=lambda name: hash_fraction(f"{self._server}\0{name}"),
             )
             self._limiter.cap = int(self._machine in ranked[:sends])
+        if self._machine not in machines:
+            self._limiter.cap = 0
         return self._limiter.try_consume(now)
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -96,6 +96,7 @@
             zone=cfg.zone,
             bounds=cfg.bounds,
             machines=self._machines,
+            machines_in=self.follower.table.known_in,
             region_zones=self._region_zones,
         )
         memory = _body_memory(cfg)
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -80,6 +80,7 @@
         zone: ZoneName,
         bounds: EdgeBounds,
         machines: Callable[[], set[InstanceId]],
+        machines_in: Callable[[ZoneName], set[InstanceId]],
         region_zones: Callable[[], list[ZoneName]],
     ) -> None:
         self._table = table
@@ -88,6 +89,7 @@
         self._region_zones = region_zones
         self._bounds = bounds
         self._machines = machines
+        self._machines_in = machines_in
         self._generation = -1
         self._rankings: dict[tuple, list[ServerRow]] = {}
         self._shares: dict[tuple, Shares] = {}
@@ -263,7 +265,10 @@
             spec.cold_per_s * self._bounds.cold_excess
             + self._bounds.cold_extra
         )
-        return row.cold.try_consume(now, per_s, self._machines())
+        # Only the machines of its zone share a cold server's rate, since most
+        # requests for it come from there. A zone without any is shared by all.
+        senders = self._machines_in(row.server.zone) or self._machines()
+        return row.cold.try_consume(now, per_s, senders)
 
 
 def _is_open(row: ServerRow, placement: Placement, now: float) -> bool:
--- a/tests/core/test_sendbudget.py
+++ b/tests/core/test_sendbudget.py
@@ -59,3 +59,9 @@
             window = [t for t in sent if since <= t < since + 1.0]
             self.assertLessEqual(len(window), per_s)
         self.assertGreater(len(sent), 0)
+
+    def test_machine_that_does_not_share_the_limit_sends_nothing(self) -> None:
+        """Guards against a sum above the limit by machines left out of it."""
+        limit = ColdLimit(server="s", machine="m9")
+        self.assertFalse(limit.try_consume(1.0, 20.0, {"m1", "m2"}))
+        self.assertTrue(limit.try_consume(1.0, 20.0, {"m1", "m9"}))
--- a/tests/runtime/test_selection.py
+++ b/tests/runtime/test_selection.py
@@ -51,6 +51,7 @@
     zone: str,
     other_zones: tuple[str, ...],
     bounds: EdgeBounds | None = None,
+    machines: dict[str, set[str]] | None = None,
 ) -> Selector:
     """Return a selector in `zone`; `other_zones` holds other machines'."""
     return Selector(
@@ -58,7 +59,8 @@
         region=_REGIONS[zone],
         zone=zone,
         bounds=bounds or EdgeBounds(),
-        machines=lambda: {"m"},
+        machines=lambda: set().union({"m"}, *(machines or {}).values()),
+        machines_in=lambda zone: (machines or {}).get(zone, set()),
         region_zones=lambda: list(other_zones),
     )
 
@@ -228,3 +230,41 @@
         self.selector = _selector(self.table, "a1", ("a2",), bounds)
         choice = self._choose(spec)
         self.assertEqual("b1", choice.server.zone)
+
+
+class ColdServerTest(unittest.TestCase):
+    """Servers that return cold while many machines send little each.
+
+    Pattern: a share of a limit below one request, so that most machines
+    avoid a server whose keys then run cold on others.
+    """
+
+    def _choices(self, zone: str, machines: dict[str, set[str]]) -> set[str]:
+        """Return the servers chosen while those of a1 are cold."""
+        table = _table(a1=4, a2=4)
+        for row in table.rows.values():
+            if row.server.zone == "a1":
+                row.cold_until = _NOW + 1000.0
+        selector = _selector(table, zone, ("a1", "a2"), machines=machines)
+        spec = ServiceSpec(name="mill", cold_per_s=2.0)
+        return {
+            selector.choose(
+                _placement(f"k{i}"), spec, set(), _NOW + 2 * i
+            ).server.zone
+            for i in range(40)
+        }
+
+    def test_machines_of_the_zone_use_its_cold_servers(self) -> None:
+        """Guards against cold servers that stay unused in a large fleet."""
+        far = {f"far-{i}" for i in range(200)}
+        machines = {"a1": {"m", "n"}, "a2": far}
+        self.assertIn("a1", self._choices("a1", machines))
+
+    def test_machines_of_other_zones_leave_them(self) -> None:
+        """Guards against a sum of rates above the limit of a cold server."""
+        machines = {"a1": {"n"}, "a2": {"m"}}
+        self.assertEqual({"a2"}, self._choices("a2", machines))
+
+    def test_zone_without_machines_is_shared_by_all(self) -> None:
+        """Guards against servers that no machine may send to."""
+        self.assertIn("a1", self._choices("a2", {"a2": {"m", "n"}}))
