Give each decoding error its code, also for deep nesting

Change: one tuple of what decoding can raise, used by all decoders.

Result: tests.core.test_malformed, red before for the state image and the base pointer, and tests.adapter.test_malformed pass.

--- a/chiverun/cli.py
+++ b/chiverun/cli.py
@@ -17,6 +17,7 @@
 
 from chiverun.core.blocks import Blocks
 from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.errors import ResultCode
 from chiverun.core.settings import is_operator_file
 from chiverun.core.settings import OperatorSettings
@@ -290,7 +291,7 @@
     try:
         resp = client.call("GET", "/v1/status", timeout_s=_STATUS_TIMEOUT_S)
         return msgspec.json.decode(resp.body, type=Status)
-    except (CallNotSent, CallFailed, msgspec.MsgspecError, ValueError):
+    except (CallNotSent, CallFailed, *DECODE_ERRORS):
         return None
 
 
--- a/chiverun/core/errors.py
+++ b/chiverun/core/errors.py
@@ -5,6 +5,12 @@
 
 import enum
 
+import msgspec
+
+# What decoding of untrusted data can raise; the last one for data that is
+# nested too deeply.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+
 
 class Outcome(enum.Enum):
     """Known outcome of a request."""
--- a/chiverun/core/messages.py
+++ b/chiverun/core/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
@@ -238,7 +239,7 @@
     """Decode a message; raises REQUEST_MALFORMED."""
     try:
         return _DECODER.decode(data)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise ChiverunError(
             ResultCode.REQUEST_MALFORMED, f"peer message: {exc}"
         ) from exc
--- a/chiverun/core/state.py
+++ b/chiverun/core/state.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import TicketNumber
 from chiverun.core.ticket import decode_hook
@@ -186,7 +187,7 @@
         image = msgspec.msgpack.decode(
             hashed.image, type=_StateImage, dec_hook=decode_hook
         )
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise ChiverunError(
             ResultCode.TICKET_MALFORMED, f"state image: {exc}"
         ) from exc
--- a/chiverun/core/ticket.py
+++ b/chiverun/core/ticket.py
@@ -13,6 +13,7 @@
 
 from chiverun.core.blocks import Blocks
 from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import Address
 from chiverun.core.ids import RegionName
@@ -244,7 +245,7 @@
 def _decode_checked(decode: Callable[[], T]) -> T:
     try:
         return decode()
-    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         reason = str(exc).replace("\n", " ")
         raise ChiverunError(
             ResultCode.TICKET_MALFORMED, f"ticket: {reason}"
--- a/chiverun/core/ticketbase.py
+++ b/chiverun/core/ticketbase.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import TicketNumber
 from chiverun.core.state import decode_state
@@ -79,7 +80,7 @@
         return None
     try:
         return msgspec.msgpack.decode(item.value, type=BasePointer)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise ChiverunError(
             ResultCode.TICKET_MALFORMED, f"base pointer in the store: {exc}"
         ) from exc
--- a/chiverun/core/ticketentry.py
+++ b/chiverun/core/ticketentry.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import TicketNumber
 from chiverun.core.state import apply_ticket
@@ -30,7 +31,7 @@
                 f"entry {entry.number} holds ticket {entry.ticket.number}"
             )
         return entry
-    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise ChiverunError(
             ResultCode.TICKET_MALFORMED, f"entry in the store: {exc}"
         ) from exc
--- a/chiverun/integrations/instances.py
+++ b/chiverun/integrations/instances.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.ids import Address
 from chiverun.core.ids import ServerName
 from chiverun.integrations.boundedclient import BoundedClient
@@ -40,7 +41,7 @@
         try:
             resp = self._client.call("GET", _PATH, timeout_s=self._timeout_s)
             checks = msgspec.json.decode(resp.body, type=list[_Check])
-        except (CallNotSent, CallFailed, msgspec.MsgspecError) as exc:
+        except (CallNotSent, CallFailed, *DECODE_ERRORS) as exc:
             raise StoreUnavailable(
                 f"cannot read the instance list: {exc}"
             ) from exc
--- a/chiverun/integrations/store.py
+++ b/chiverun/integrations/store.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.ids import Address
 from chiverun.integrations.boundedclient import BoundedClient
 from chiverun.integrations.boundedclient import BoundedResponse
@@ -150,5 +151,5 @@
 def _decode(data: bytes, type_: Any) -> Any:
     try:
         return msgspec.json.decode(data, type=type_)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise StoreUnavailable(f"read: malformed response: {exc}") from exc
--- a/chiverun/platform/records.py
+++ b/chiverun/platform/records.py
@@ -8,6 +8,7 @@
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.ids import Address
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
@@ -39,12 +40,7 @@
             return _decode_server(ServerName(name), json.loads(data))
         if key.startswith(MACHINE_PREFIX):
             return msgspec.json.decode(data, type=Machine)
-    except (
-        values.InvalidValueError,
-        ValueError,
-        RecursionError,
-        msgspec.MsgspecError,
-    ) as exc:
+    except DECODE_ERRORS as exc:
         return Unreadable(reason=str(exc))
     return None
 
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -23,6 +23,7 @@
 from chiverun.core.edgemessages import Pull
 from chiverun.core.edgemessages import Snapshot
 from chiverun.core.edgemessages import Update
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
@@ -323,7 +324,7 @@
     def _receive(self, payload: bytes) -> None:
         try:
             message = edgemessages.decode(payload)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             _LOG.warning(
                 "cannot decode peer message", extra={"reason": str(exc)}
             )
--- a/chiverun/runtime/storeworker.py
+++ b/chiverun/runtime/storeworker.py
@@ -11,6 +11,7 @@
 import pykka
 
 from chiverun.core.errors import ChiverunError
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import ZoneName
 from chiverun.core.seats import Claim
@@ -82,7 +83,7 @@
             return SeatRecord(), 0
         try:
             record = msgspec.msgpack.decode(item.value, type=SeatRecord)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except DECODE_ERRORS as exc:
             raise StoreUnavailable(
                 f"{self._key} is malformed: {exc}; valid: a seat record"
             ) from exc
