--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -172,8 +172,16 @@
         now = self._loop.time()
         if not self._has_read and not self.is_current:
             return True
-        self._is_reader = self.table.is_reader(now, self._reads_store)
-        self._is_relay = self._is_reader or self.table.is_relay_silent(now)
+        is_reader = self.table.is_reader(now, self._reads_store)
+        if is_reader != self._is_reader:
+            _LOG.info(
+                "reads the store for its region"
+                if is_reader
+                else "no longer reads the store for its region",
+                extra={"age_s": round(self.age_s(), 3)},
+            )
+        self._is_reader = is_reader
+        self._is_relay = is_reader or self.table.is_relay_silent(now)
         return self._is_relay
 
     async def _read(self) -> None:
