Serve until a stopping instance closes, without refusing

The drain alone answers what has been received.

Also a test still called a function of the store by its former name.

--- a/chiverun/runtime/entry.py
+++ b/chiverun/runtime/entry.py
@@ -121,17 +121,10 @@
         )
         self._issuers = IssuerDirectory()
         self.in_flight = 0
-        self._is_refusing = False
-
-    def refuse_new_requests(self) -> None:
-        """Refuse further requests, which callers then send elsewhere."""
-        self._is_refusing = True
 
     def handle(self, req: IncomingRequest) -> Response:
         """Answer a caller's request."""
         with self._lock:
-            if self._is_refusing:
-                return self._refuse(req)
             self.in_flight += 1
         started = self._clock.monotonic()
         try:
@@ -144,17 +137,6 @@
         self._telemetry.latency.record(self._clock.monotonic() - started)
         return response
 
-    def _refuse(self, req: IncomingRequest) -> Response:
-        # An earlier request with the same key may have run.
-        key = IdempotencyKey(req.header("idempotency-key"))
-        outcome = self._keys.outcome(key) if key else Outcome.NOT_RUN
-        return error_response(
-            503,
-            outcome,
-            ResultCode.LEAVING,
-            "this instance is stopping; ask another",
-        )
-
     def _handle(self, req: IncomingRequest) -> Response:
         self._issuers.refresh(self._plane.snapshot, self._clock.monotonic())
         try:
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -58,7 +58,7 @@
 STOP_ANNOUNCE_PERIOD_S = 0.5
 SEAT_TRANSFER_TIMEOUT_S = 5.0
 # Time in which requests that were received before the listeners close are
-# refused.
+# answered.
 STOP_DRAIN_S = 3.0
 LOOKUP_READ_TIMEOUT_S = 1.0
 # Allows responses to be written after the longest request deadline.
@@ -332,7 +332,6 @@
         On a busy machine a request waits for a thread, and callers whose
         look-up answers have expired are late to notice.
         """
-        self._entry.refuse_new_requests()
         for server in self._servers:
             if not server.drain(STOP_DRAIN_S):
                 _LOG.warning("requests still arrive at shutdown")
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -96,7 +96,7 @@
     async def test_malformed_rows_are_skipped(self) -> None:
         """Guards against a malformed row that hides the valid ones."""
         body = {"items": [7, {}, {"key": 1}], "storeRevision": 3}
-        rows = store_module._valid_rows(body, "items")
+        rows = store_module.valid_rows(body, "items")
         self.assertEqual(rows, [])
         with self.assertRaises(CatalogUnavailable):
-            store_module._valid_rows({"items": "x"}, "items")
+            store_module.valid_rows({"items": "x"}, "items")
