--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -35,7 +35,8 @@
     loops = [asyncio.create_task(clients.run()) for _ in range(CLIENT_LOOPS)]
     try:
         await asyncio.gather(
-            *(_inject_faults(environment) for _ in range(FAULT_SERIES))
+            *(_inject_faults(environment) for _ in range(FAULT_SERIES)),
+            _inject_troubles(environment),
         )
         for edge in environment.edges:
             await environment.wait_ready(edge)
@@ -60,6 +61,15 @@
         await environment.inject_fault()
 
 
+async def _inject_troubles(environment: SoakEnvironment) -> None:
+    """Inject troubles, drawn apart so that the other faults stay the same."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + FAULT_PHASE_S
+    while loop.time() < until:
+        await asyncio.sleep(environment.trouble_rng.uniform(0.0, 1.0))
+        await environment.inject_trouble()
+
+
 def _check_results(
     environment: SoakEnvironment, clients: Clients, checked_from: float
 ) -> None:
--- a/standins/soak/world.py
+++ b/standins/soak/world.py
@@ -111,6 +111,7 @@
 
     def __init__(self, *, seed: int) -> None:
         self.rng = random.Random(seed)
+        self.trouble_rng = random.Random(f"trouble {seed}")
         self.violations: list[str] = []
         self.events: list[str] = []
         self.store = MetaStore()
@@ -307,6 +308,32 @@
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         self.upstreams[index].faults = UpstreamFaults(delay_s=SERVICE_TIME_S)
 
+    async def inject_trouble(self) -> None:
+        """Inject a fault of a server in trouble, or a long pause."""
+        rng = self.trouble_rng
+        if rng.random() < 0.2:
+            edge = rng.choice(self.edges)
+            self._record_event(f"{edge.name} paused for long")
+            edge.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(3.0, 6.0))
+            edge.send_signal(signal.SIGCONT)
+            return
+        index = rng.randrange(UPSTREAMS)
+        faults = rng.choice(
+            [
+                UpstreamFaults(answer=b"", endless=b"\x00\xff" * 500),
+                UpstreamFaults(answer=_OK, endless=b"X: " + b"a" * 997),
+                UpstreamFaults(answer=_OK + b"\r\n", endless=b"a" * 1000),
+                UpstreamFaults(answer=b"", endless=_INTERIM),
+                UpstreamFaults(copy_after_s=0.0),
+                UpstreamFaults(copy_after_s=rng.uniform(0.0, 0.5)),
+            ]
+        )
+        self._record_event(f"u{index}: {faults}")
+        self.upstreams[index].faults = faults
+        await asyncio.sleep(rng.uniform(0.3, 1.5))
+        self.upstreams[index].faults = UpstreamFaults(delay_s=SERVICE_TIME_S)
+
     async def _pause_edge(self) -> None:
         edge = self.rng.choice(self.edges)
         self._record_event(f"{edge.name} paused")
@@ -359,6 +386,10 @@
             await asyncio.sleep(0.1)
 
 
+_OK = b"HTTP/1.1 200 OK\r\n"
+_INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20
+
+
 def _rule(name: str, kind: str) -> dict:
     return {
         "name": name,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,6 +19,10 @@
     """
 
     answer: bytes | None = None
+    # Bytes that follow the answer again and again until the caller closes.
+    endless: bytes | None = None
+    # The response is sent once more after this time.
+    copy_after_s: float | None = None
     reset: bool = False
     shed: bool = False
     extra: bool = False
@@ -103,6 +107,7 @@
             return False
         if self.faults.answer is not None:
             writer.write(self.faults.answer)
+            await self._send_endless(writer)
             return False
         response = _response(
             self.faults.status,
@@ -111,11 +116,21 @@
             b"X-Chiverun-Response-Stamp: s\r\n",
         )
         writer.write(response)
+        if self.faults.copy_after_s is not None:
+            asyncio.get_running_loop().call_later(
+                self.faults.copy_after_s, writer.write, response
+            )
         if self.faults.extra:
             writer.write(_response(200, "other", b"other", b""))
         await writer.drain()
         return True
 
+    async def _send_endless(self, writer: asyncio.StreamWriter) -> None:
+        endless = self.faults.endless
+        while endless:
+            writer.write(endless)
+            await writer.drain()
+
     async def _work(
         self, reader: asyncio.StreamReader, request_id: str
     ) -> bool:
