Move heartbeats and probes out of the catalog follower

runtime/heartbeats.py sends and records heartbeats; the follower keeps the replica. The two series of the soak's faults share one function; two unused constants of the stand-ins are gone.

--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -192,8 +192,7 @@
         self._stop_requested_at = self._loop.time()
         self._stopping.set()
         self._entry.closing = True
-        self.follower.leaving = True
-        self.follower.send_heartbeats()
+        self.follower.leave()
         _LOG.info("stop requested", extra={"active": self._entry.active()})
 
     async def _drain(self) -> None:
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -9,7 +9,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from collections.abc import Collection
 
 import logbook
 import msgspec
@@ -38,6 +37,7 @@
 from chiverun.integrations.catalogstore import Changes
 from chiverun.integrations.catalogstore import HistoryCompacted
 from chiverun.integrations.peers import ZmqPeers
+from chiverun.runtime.heartbeats import Heartbeats
 
 _LOG = logbook.Logger("catalog")
 
@@ -69,7 +69,9 @@
     ) -> None:
         self.replica = Replica()
         self.table = PeerTable(me=me)
-        self.leaving = False
+        self.heartbeats = Heartbeats(
+            me=me, boot_id=boot_id, table=self.table, peers=peers, seeds=seeds
+        )
         self._me = me
         self._boot_id = boot_id
         self._store = store
@@ -84,7 +86,6 @@
         self._is_loss_logged = False
         self._lapse_until = float("-inf")
         self._live_list_sent_at = float("-inf")
-        self._live_list_changed = True
         # Reads the store for the region, or only for a zone without news.
         self._is_reader = False
         self._is_relay = False
@@ -127,46 +128,17 @@
     async def send_heartbeats_forever(self) -> None:
         """Send heartbeats and expire old rows; never returns."""
         while True:
-            self.send_heartbeats()
+            self.heartbeats.send(self._reads_store)
             dropped = self.replica.expire(self._loop.time())
             if dropped:
                 _LOG.info("lapsed servers dropped", extra={"keys": dropped})
                 self._on_change()
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
-    def send_heartbeats(self) -> None:
-        """Send a heartbeat to the machines that expect it."""
-        now = self._loop.time()
-        targets = self.table.heartbeat_targets(now, self.leaving)
-        addresses = {machine.peer for machine in targets}
-        if not addresses and not self.table.region_machines():
-            addresses = set(self._seeds)
-        self._send_heartbeat(addresses)
-        if self._is_hub():
-            probed = self.table.probe_targets(now)
-            self._send_heartbeat({m.peer for m in probed}, probe=True)
-
-    def _send_heartbeat(
-        self, addresses: Collection[Address], *, probe: bool = False
-    ) -> None:
-        if not addresses:
-            return
-        heard = self.table.heard_in_zone(self._loop.time())
-        message = edgemessages.encode(
-            Heartbeat(
-                machine=self._me,
-                boot_id=self._boot_id,
-                leaving=self.leaving,
-                reads_store=self._reads_store,
-                heard=heard if self._is_hub() else None,
-                probe=probe,
-            )
-        )
-        for address in addresses:
-            self._peers.send(address, message)
-
-    def _is_hub(self) -> bool:
-        return self._me in self.table.zone_hubs(self._loop.time())
+    def leave(self) -> None:
+        """Tell the other machines that this one is stopping."""
+        self.heartbeats.leaving = True
+        self.heartbeats.send(self._reads_store)
 
     def _must_read(self) -> bool:
         now = self._loop.time()
@@ -215,7 +187,7 @@
             and row.record.name == self._me.name
         ]
         revision, record = own_rows[0] if own_rows else (Revision(0), None)
-        if record == self._me or self.leaving:
+        if record == self._me or self.heartbeats.leaving:
             return
         is_written = await self._store.register(self._me, revision)
         _LOG.info("registered", extra={"written": is_written})
@@ -281,12 +253,11 @@
         live = None
         if (
             now - self._live_list_sent_at >= LIST_PERIOD_S
-            or self._live_list_changed
+            or self.heartbeats.live_changed
         ):
             self._live_list_sent_at = now
-            self._live_list_changed = False
-            names = self.table.heard_names(now) - {self._me.name}
-            live = sorted(names | (set() if self.leaving else {self._me.name}))
+            self.heartbeats.live_changed = False
+            live = self.heartbeats.live_names()
             self.table.record_live_list(self._me.name, live, now)
         message = edgemessages.encode(
             Update(
@@ -339,7 +310,7 @@
             return
         match message:
             case Heartbeat():
-                self._handle_heartbeat(message)
+                self.heartbeats.receive(message, self._reads_store)
             case Update():
                 self._handle_update(message)
             case Pull():
@@ -349,37 +320,6 @@
                     self._apply_listing(message.items, message.as_of, "peer")
                     self._needs_full_read = False
 
-    def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        now = self._loop.time()
-        if heartbeat.probe and heartbeat.machine.zone != self._me.zone:
-            self._answer_probe(heartbeat)
-        names_before = self.table.heard_names(now)
-        if not self.table.record_heartbeat(heartbeat, now):
-            return
-        names = self.table.heard_names(now)
-        if names == names_before:
-            return
-        self._live_list_changed = True
-        _LOG.info(
-            "live machines changed",
-            extra={
-                "machine": heartbeat.machine.name,
-                "life": heartbeat.boot_id,
-                "leaving": heartbeat.leaving,
-                "heard": sorted(names - names_before),
-                "gone": sorted(names_before - names),
-            },
-        )
-
-    def _answer_probe(self, probe: Heartbeat) -> None:
-        """Answer as a hub, or let the hubs of the zone answer."""
-        if self._is_hub():
-            self._send_heartbeat([probe.machine.peer])
-            return
-        message = edgemessages.encode(probe)
-        for hub in self.table.zone_hubs(self._loop.time()):
-            self._peers.send(hub.peer, message)
-
     def _handle_update(self, update: Update) -> None:
         now = self._loop.time()
         if not update.relayed and self.table.passes_on(update.sender, now):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -31,8 +31,6 @@
 from standins.web import serve_in_thread
 from standins.web import Server
 
-_RATE_WINDOW_S = 1.0
-
 
 class Platform:
     """Data and faults of the stand-in."""
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import json
+import random
 import sys
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import fire
 
@@ -21,7 +24,6 @@
 RECOVERY_S = 6.0
 CHECK_S = 2.0
 SERVED_SHARE_MIN = 0.9
-ANSWER_LIMIT_S = 2.0 + 0.5
 
 
 async def soak(seed: int) -> tuple[list[str], list[str], dict]:
@@ -35,8 +37,14 @@
     loops = [asyncio.create_task(clients.run()) for _ in range(CLIENT_LOOPS)]
     try:
         await asyncio.gather(
-            *(_inject_faults(environment) for _ in range(FAULT_SERIES)),
-            _inject_troubles(environment),
+            *(
+                _inject_faults(environment.rng, environment.inject_fault)
+                for _ in range(FAULT_SERIES)
+            ),
+            # Drawn apart, so that the faults of recorded seeds stay the same.
+            _inject_faults(
+                environment.trouble_rng, environment.inject_trouble
+            ),
         )
         for edge in environment.edges:
             await environment.wait_ready(edge)
@@ -52,22 +60,15 @@
     return environment.violations, environment.events, dict(clients.statuses)
 
 
-async def _inject_faults(environment: SoakEnvironment) -> None:
+async def _inject_faults(
+    rng: random.Random, inject: Callable[[], Awaitable[None]]
+) -> None:
     """Inject faults one after the other; several series run at once."""
     loop = asyncio.get_running_loop()
     until = loop.time() + FAULT_PHASE_S
     while loop.time() < until:
-        await asyncio.sleep(environment.rng.uniform(0.0, 1.0))
-        await environment.inject_fault()
-
-
-async def _inject_troubles(environment: SoakEnvironment) -> None:
-    """Inject troubles, drawn apart so that the other faults stay the same."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + FAULT_PHASE_S
-    while loop.time() < until:
-        await asyncio.sleep(environment.trouble_rng.uniform(0.0, 1.0))
-        await environment.inject_trouble()
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        await inject()
 
 
 def _check_results(
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -154,7 +154,7 @@
         @given(malformed.variants(body))
         def check(variant: object) -> None:
             self._receive(malformed.to_msgpack(variant))
-            self.follower.send_heartbeats()
+            self.follower.heartbeats.send(True)
             self.follower.table.live(0.0)
 
         check()
@@ -167,6 +167,6 @@
         @given(malformed.cut_or_flipped(edgemessages.encode(message)))
         def check(payload: bytes) -> None:
             self.follower._receive(payload)
-            self.follower.send_heartbeats()
+            self.follower.heartbeats.send(True)
 
         check()
--- a/tests/runtime/fleet.py
+++ b/tests/runtime/fleet.py
@@ -162,7 +162,7 @@
         due = self._due[name]
         if self.clock.now >= due[0]:
             due[0] = self.clock.now + HEARTBEAT_PERIOD_S
-            follower.send_heartbeats()
+            follower.heartbeats.send(follower._reads_store)
         if self.clock.now >= due[1] and follower._must_read():
             due[1] = self.clock.now + READ_PAUSE_S
             try:
--- a/tests/runtime/test_fleet.py
+++ b/tests/runtime/test_fleet.py
@@ -129,8 +129,7 @@
         """Guards against look-ups that name a stopping machine."""
         fleet = self._fleet()
         for name in ("a-000", "b-007"):
-            fleet.followers[name].leaving = True
-            fleet.followers[name].send_heartbeats()
+            fleet.followers[name].leave()
         fleet.run(2.5)
         for name in fleet.alive() - {"a-000", "b-007"}:
             self.assertFalse({"a-000", "b-007"} & fleet.named_by(name), name)
