--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
 
 import logbook
 
@@ -113,10 +114,23 @@
         self.directory = Directory(
             table=self.follower.table, leaving=self.is_stopping
         )
+        self._loop.set_exception_handler(self._on_unexpected)
         self._entry = ListenerState(handler=self._handle, memory=memory)
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _on_unexpected(
+        self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log and count an error that no caller of a callback handles."""
+        self.metrics.unexpected_errors.add(1)
+        exc = context.get("exception")
+        _LOG.error(
+            "unexpected error",
+            exc_info=(type(exc), exc, exc.__traceback__) if exc else None,
+            extra={"what": context.get("message")},
+        )
+
     def is_ready(self) -> bool:
         """Return whether clients should connect to this instance."""
         return self.follower.is_current and not self.is_stopping()
--- a/chiverun/runtime/edgemetrics.py
+++ b/chiverun/runtime/edgemetrics.py
@@ -48,6 +48,9 @@
             "chiverun.sends.budget_refused"
         )
 
+        self.unexpected_errors = meter.create_counter(
+            "chiverun.unexpected_errors"
+        )
         self.state_faults = meter.create_counter("chiverun.state.faults")
 
     def record_request(self, status: int, seconds: float) -> None:
