--- a/tests/runtime/test_fleet.py
+++ b/tests/runtime/test_fleet.py
@@ -5,7 +5,9 @@
 cannot reach each other.
 """
 
+import time
 import unittest
+from unittest import mock
 
 import logbook
 from nose2.tools import params
@@ -125,6 +127,23 @@
         fleet.run(3.0)
         self._assert_in_force(fleet, 2)
 
+    def test_steps_of_the_time_of_day(self):
+        """Guards against decisions by the time of day.
+
+        It jumps by an hour in both directions while machines come and go.
+        """
+        fleet = self._fleet(5)
+        real_time = time.time
+        for step_s in (3600.0, -3600.0, 0.0):
+            with mock.patch("time.time", lambda s=step_s: real_time() + s):
+                fleet.down = {"a-000"}
+                self._assert_in_force(fleet, fleet.store.revision)
+                fleet.run(_DIRECTORY_S - _IN_FORCE_S)
+                for name in fleet.alive():
+                    self.assertEqual(fleet.alive(), fleet.named_by(name))
+                fleet.start("a-000")
+                fleet.run(5.0)
+
     def test_planned_stop_is_known_soon(self):
         """Guards against look-ups that name a stopping machine."""
         fleet = self._fleet()
