--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -86,7 +86,8 @@
         self._is_loss_logged = False
         self._lapse_until = float("-inf")
         self._live_list_sent_at = float("-inf")
-        # Reads the store for the region, or only for a zone without news.
+        # Whether this machine reads the store for its region, and whether it
+        # reads it at all; a relay that is no reader serves its zone only.
         self._is_reader = False
         self._is_relay = False
         self._has_read = False
@@ -244,7 +245,7 @@
         *,
         from_listing: bool,
     ) -> None:
-        """Send changes, or that there are none, to the region's machines."""
+        """Send changes, or that there are none, to the machines served."""
         now = self._loop.time()
         # This machine's own store reads count as relay messages.
         self.table.relay_heard_at = now
--- a/chiverun/runtime/heartbeats.py
+++ b/chiverun/runtime/heartbeats.py
@@ -81,11 +81,8 @@
 
     def live_names(self) -> "list[InstanceId]":
         """Return the machines that this one hears, and itself."""
-        now = self._loop.time()
-        names = self._table.heard_names(now) - {self._me.name}
-        live = sorted(names if self.leaving else names | {self._me.name})
-        self._table.record_live_list(self._me.name, live, now)
-        return live
+        names = self._table.heard_names(self._loop.time()) - {self._me.name}
+        return sorted(names if self.leaving else names | {self._me.name})
 
     def _send_to(
         self,
