--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -105,6 +105,7 @@
             "attempt": attempt,
             **_load_at_selection(row, started_at),
             **_limit_at_selection(row, started_at),
+            **_cold_at_selection(row, started_at),
         }
         row.load.in_flight += 1
         row.pending_sends[number] = started_at
@@ -371,6 +372,16 @@
     }
 
 
+def _cold_at_selection(row: ServerRow, now: float) -> dict:
+    """Return how long the server is taken for cold, and the own sends."""
+    if now >= row.cold_until:
+        return {}
+    return {
+        "cold_left_ms": round(1000 * (row.cold_until - now)),
+        "recent_sends": row.recent_sends.count(now),
+    }
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the end-to-end headers, without hop-by-hop and framing ones."""
     listed = {
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -4,6 +4,8 @@
 import contextlib
 import unittest
 
+import logbook
+
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import Mismatched
@@ -199,6 +201,18 @@
                 await self._send(row, 2)
                 self.assertEqual(per_s, row.limit.per_s)
 
+    async def test_log_tells_whether_a_server_counts_as_cold(self) -> None:
+        """Guards against logs that hide why a cold server was sent much."""
+        row = await self._start([_response(2)], [])
+        with logbook.TestHandler().applicationbound() as logs:
+            await self._send(row, 1)
+            row.cold_until = self.loop.time() + 2.0
+            await self._send(row, 2)
+        warm, cold = (r.extra for r in logs.records)
+        self.assertNotIn("cold_left_ms", warm)
+        self.assertAlmostEqual(2000, cold["cold_left_ms"], delta=500)
+        self.assertEqual(2, cold["recent_sends"])
+
     async def test_old_choice_is_not_used(self) -> None:
         """Guards against acting on a choice from before a pause.
 
