--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -8,6 +8,8 @@
 from chiverun.core.ids import Address
 from chiverun.integrations.network import split_address
 
+HEALTH_PATH = "/health"
+
 
 @dataclasses.dataclass(kw_only=True)
 class UpstreamFaults:
@@ -16,7 +18,8 @@
     `answer` replaces the raw bytes of a response; `reset` closes the
     connection without a response; `shed` rejects requests as not run;
     `extra` sends an unsolicited second response after each response. `limit`
-    is the rate that the server names in each response.
+    is the rate that the server names in each response. `cold_ms` is the cold
+    time that it names in answers to health checks, which say that all is well.
     """
 
     answer: bytes | None = None
@@ -30,6 +33,7 @@
     status: int = 200
     delay_s: float = 0.0
     limit: str | None = None
+    cold_ms: int | None = None
 
 
 class Upstream:
@@ -48,6 +52,7 @@
         self.targets: list[str] = []
         # Event loop times at which requests arrived.
         self.arrived_at: list[float] = []
+        self.health_checks = 0
         self._server: asyncio.Server | None = None
 
     def entry(self, **changes) -> bytes:
@@ -96,6 +101,10 @@
             for name, _, value in (row.partition(":") for row in rows)
         }
         body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if request_line.split(" ")[1] == HEALTH_PATH:
+            self.health_checks += 1
+            writer.write(self._health_response())
+            return True
         request_id = headers.get("x-chiverun-request-id", "")
         self.arrived_at.append(asyncio.get_running_loop().time())
         expected = headers.get("x-chiverun-expect-instance", self.name)
@@ -129,6 +138,12 @@
         await writer.drain()
         return True
 
+    def _health_response(self) -> bytes:
+        extra = f"X-Chiverun-Instance-Id: {self.name}\r\n"
+        if self.faults.cold_ms is not None:
+            extra += f"X-Chiverun-Cold-Ms: {self.faults.cold_ms}\r\n"
+        return _response(200, "", b"", extra.encode())
+
     def _write(self, writer: asyncio.StreamWriter, response: bytes) -> None:
         """Send a response, and once more if it is to be copied."""
         writer.write(response)
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -213,6 +213,21 @@
         self.assertAlmostEqual(2000, cold["cold_left_ms"], delta=500)
         self.assertEqual(2, cold["recent_sends"])
 
+    async def test_choice_of_a_cold_server_is_sent_at_once_or_not(
+        self,
+    ) -> None:
+        """Guards against sends that arrive together with those of later.
+
+        Its rate has a margin for a fraction of a second only.
+        """
+        row = await self._start([], [])
+        row.cold_until = self.loop.time() + 60.0
+        late = await self._send(row, 1, age_s=0.5)
+        self.assertIsInstance(late.end, NotSent)
+        self.assertEqual(0, self.requests_read)
+        in_time = await self._send(row, 1)
+        self.assertIsInstance(in_time.end, Answered)
+
     async def test_old_choice_is_not_used(self) -> None:
         """Guards against acting on a choice from before a pause.
 
