Count sends to a server before it is known to be cold

Callers saw a cold server end: between the start of its cold time and the news of it the machines send as to a warm one, and then their whole part of the rate. Cause: the window of a cold server's limit began when the machine learnt of it.

--- /dev/null
+++ b/chiverun/core/coldlimit.py
@@ -0,0 +1,61 @@
+"""Rate of a cold server, of which each machine has its own part."""
+
+from collections.abc import Collection
+
+from chiverun.core.limits import WindowCount
+from chiverun.core.placement import hash_fraction
+
+# Usable part of the rate. The rest is a margin, since windows differ between
+# machines and a request can arrive up to a round trip after it was sent.
+COLD_PART = 0.75
+# Window of sends to a cold server: one second and the jitter of arrivals.
+COLD_WINDOW_S = 1.25
+
+
+class ColdLimit:
+    """Limit of this machine's sends to one cold server.
+
+    The limit of a cold server is divided into whole sends per window. With
+    fewer sends than machines, a hash selects the machines that may send.
+    """
+
+    def __init__(self, *, server: str, machine: str) -> None:
+        self._server = server
+        self._machine = machine
+        self._sends = WindowCount(window_s=COLD_WINDOW_S)
+
+    def record(self, now: float) -> None:
+        """Count a send, whether the server is known to be cold or not.
+
+        It may already have been cold when its machines learn of it.
+        """
+        self._sends.add(now)
+
+    def allows(
+        self, now: float, per_s: float, machines: Collection[str]
+    ) -> bool:
+        """Return whether a send is within this machine's part.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        per_s : float
+            Maximum requests per second to the server from all machines.
+        machines : Collection[str]
+            Names of all machines that share the limit.
+        """
+        return self._sends.count(now) < self._part(per_s, machines)
+
+    def _part(self, per_s: float, machines: Collection[str]) -> int:
+        """Return how many sends per window this machine may make."""
+        if self._machine not in machines:
+            return 0
+        sends = int(per_s * COLD_PART)
+        if sends >= len(machines):
+            return sends // len(machines)
+        ranked = sorted(
+            machines,
+            key=lambda name: hash_fraction(f"{self._server}\0{name}"),
+        )
+        return int(self._machine in ranked[:sends])
--- a/chiverun/core/sendbudget.py
+++ b/chiverun/core/sendbudget.py
@@ -1,4 +1,4 @@
-"""Limits shared by all machines, each of which enforces its own part.
+"""Budget of retries and hedges, of which each machine has its own part.
 
 No machine knows the counts of the others, so each uses only its part. Machines
 that are merely unreachable still count when the parts are computed, so a
@@ -8,15 +8,9 @@
 import collections
 import dataclasses
 
-from chiverun.core.limits import WindowLimiter
-from chiverun.core.placement import hash_fraction
-
 # Usable part of a limit. The rest is a margin, since windows differ between
 # machines and a request can arrive up to a round trip after it was sent.
 BUDGET_PART = 0.8
-COLD_PART = 0.75
-# Window of sends to a cold server: one second and the jitter of arrivals.
-COLD_WINDOW_S = 1.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -66,44 +60,3 @@
         for times in (self._requests, self._extra_sends):
             while times and times[0] <= since:
                 times.popleft()
-
-
-class ColdLimit:
-    """Limit of this machine's sends to one cold server.
-
-    The limit of a cold server is divided into whole sends per window. With
-    fewer sends than machines, a hash selects the machines that may send.
-    """
-
-    def __init__(self, *, server: str, machine: str) -> None:
-        self._server = server
-        self._machine = machine
-        self._limiter = WindowLimiter(cap=0, window_s=COLD_WINDOW_S)
-
-    def try_consume(
-        self, now: float, per_s: float, machines: collections.abc.Collection
-    ) -> bool:
-        """Admit one send.
-
-        Parameters
-        ----------
-        now : float
-            Monotonic seconds.
-        per_s : float
-            Maximum requests per second to the server from all machines.
-        machines : Collection[str]
-            Names of all machines, including this one.
-        """
-        sends = int(per_s * COLD_PART)
-        count = max(1, len(machines))
-        if sends >= count:
-            self._limiter.cap = sends // count
-        else:
-            ranked = sorted(
-                machines,
-                key=lambda name: hash_fraction(f"{self._server}\0{name}"),
-            )
-            self._limiter.cap = int(self._machine in ranked[:sends])
-        if self._machine not in machines:
-            self._limiter.cap = 0
-        return self._limiter.try_consume(now)
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -283,6 +283,7 @@
         for row in rows:
             if self._may_send(row, spec, now):
                 self._quotas.take(row, now)
+                row.cold.record(now)
                 return row
         return None
 
@@ -301,7 +302,7 @@
         zone = row.server.zone
         senders = {m.name for m in fleet if m.zone == zone}
         senders = senders or {m.name for m in fleet}
-        return row.cold.try_consume(now, per_s, senders)
+        return row.cold.allows(now, per_s, senders)
 
 
 def _sooner(first: LimitReached | None, other: LimitReached) -> LimitReached:
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -9,6 +9,7 @@
 from chiverun.core.catalog import RouteTable
 from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
+from chiverun.core.coldlimit import ColdLimit
 from chiverun.core.health import ServerHealth
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import RegionName
@@ -18,7 +19,6 @@
 from chiverun.core.limits import WindowCount
 from chiverun.core.loads import LoadEstimate
 from chiverun.core.replica import Replica
-from chiverun.core.sendbudget import ColdLimit
 from chiverun.core.serverlimit import NamedLimit
 from chiverun.core.serverlimit import Quota
 from chiverun.integrations.asyncclient import ClientConnection
--- a/tests/records.py
+++ b/tests/records.py
@@ -2,8 +2,8 @@
 
 from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
+from chiverun.core.coldlimit import ColdLimit
 from chiverun.core.health import ServerHealth
-from chiverun.core.sendbudget import ColdLimit
 from chiverun.runtime.servertable import ServerRow
 
 
