--- a/chiverun/core/coldlimit.py
+++ b/chiverun/core/coldlimit.py
@@ -31,6 +31,10 @@
         """
         self._sends.add(now)
 
+    def recent_sends(self, now: float) -> int:
+        """Return the sends within the window that ends at `now`."""
+        return self._sends.count(now)
+
     def allows(
         self, now: float, per_s: float, machines: Collection[str]
     ) -> bool:
@@ -45,7 +49,7 @@
         machines : Collection[str]
             Names of all machines that share the limit.
         """
-        return self._sends.count(now) < self._part(per_s, machines)
+        return self.recent_sends(now) < self._part(per_s, machines)
 
     def _part(self, per_s: float, machines: Collection[str]) -> int:
         """Return how many sends per window this machine may make."""
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -118,8 +118,9 @@
         self.generation = 0
         self._machine = machine
         self._evacuated: frozenset[ZoneName] = frozenset()
-        # Servers with a limit whose records have been removed. A record that
-        # has lapsed in an outage of the store returns with it.
+        # Servers whose records have been removed, while what is known of them
+        # still counts. A record that has lapsed in an outage of the store
+        # returns with it.
         self._unlisted: dict[ServerName, ServerRow] = {}
 
     def sync(
@@ -159,16 +160,15 @@
             return row
         if row is not None:
             row.close_idle()
+        before = row or self._unlisted.pop(server.name, None)
         row = ServerRow(
             server=server,
             region=region,
             health=ServerHealth(name=server.name, address=server.address),
             cold=ColdLimit(server=server.name, machine=self._machine),
         )
-        unlisted = self._unlisted.pop(server.name, None)
-        if unlisted is not None and _is_same_process(unlisted.server, server):
-            row.limit = unlisted.limit
-            row.quota = unlisted.quota
+        if before is not None:
+            _carry_over(before, row)
         self.rows[server.name] = row
         return row
 
@@ -180,6 +180,8 @@
             name: row
             for name, row in self._unlisted.items()
             if row.limit.in_force(now) is not None
+            or now < row.cold_until
+            or row.cold.recent_sends(now)
         }
 
     def close(self) -> None:
@@ -188,6 +190,19 @@
             row.close_idle()
 
 
+def _carry_over(old: ServerRow, new: ServerRow) -> None:
+    """Keep what still holds when a server's row is made again.
+
+    What was sent to the name counts also for a process that has just started
+    under it.
+    """
+    new.cold = old.cold
+    if _is_same_process(old.server, new.server):
+        new.limit = old.limit
+        new.quota = old.quota
+        new.cold_until = old.cold_until
+
+
 def _is_same_process(old: Server, new: Server) -> bool:
     """Return whether two records describe the same server process.
 
