Give a machine no share of common limits before it is registered

Callers saw a cold server end: a machine that has just joined took a part of the rate that the others had already divided without it. The test of the fleet of unreachable machines registers its own machine now, as each does after its first read; a second one covers the time before.

--- a/chiverun/core/peertable.py
+++ b/chiverun/core/peertable.py
@@ -64,6 +64,8 @@
         self.lists: dict[InstanceId, LiveList] = {}
         self.relay_heard_at = float("-inf")
         self._machines: dict[InstanceId, Machine] = {me.name: me}
+        # Whether the other machines can know of this one.
+        self._is_registered = False
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat; return whether the live machines changed."""
@@ -90,14 +92,18 @@
         """Record the registered machines, whether live or not."""
         for machine in machines:
             self._machines[machine.name] = machine
+            self._is_registered |= machine.name == self.me.name
         self._machines[self.me.name] = self.me
 
     def fleet(self) -> Collection[Machine]:
-        """Return all machines ever known, including this one.
+        """Return the machines that share common limits.
 
-        An unreachable machine still uses its share of common limits.
+        An unreachable machine still uses its share. This one has none before
+        it is registered: the others share the limits without it.
         """
-        return self._machines.values()
+        if self._is_registered:
+            return self._machines.values()
+        return [m for m in self._machines.values() if m.name != self.me.name]
 
     def machine(self, name: InstanceId) -> Machine | None:
         """Return a registered machine, None if it is not known."""
--- a/tests/core/test_peertable.py
+++ b/tests/core/test_peertable.py
@@ -62,10 +62,17 @@
 
     def test_unreachable_machines_still_count_for_shared_limits(self) -> None:
         self.table.record_heartbeat(_heartbeat("m1"), 10.0)
+        self.table.record_machines([_machine("m5")])
         self.assertEqual(self.table.live(99.0), [])
         names = {machine.name for machine in self.table.fleet()}
         self.assertEqual(names, {"m1", "m5"})
 
+    def test_unregistered_machine_has_no_share(self) -> None:
+        """Guards against a share that the other machines do not know of."""
+        self.table.record_machines([_machine("m1")])
+        names = [machine.name for machine in self.table.fleet()]
+        self.assertEqual(names, ["m1"])
+
     def test_machine_on_the_list_of_a_hub_is_live(self) -> None:
         self.table.record_machines([_machine("m1"), _machine("m8")])
         self.table.record_live_list("m1", ["m1", "m8"], 10.0)
