Take a cold server's record for news also if it equals the last one

Callers saw a cold server end: one that becomes cold again with the same remaining time as in the last record that was read counted as unchanged, and its cold time from then. test_server_becomes_cold_again_with_the_same_record failed before (204 in a second, 13.7 allowed).

--- a/chiverun/core/replica.py
+++ b/chiverun/core/replica.py
@@ -134,6 +134,7 @@
             row is not None
             and row.record == item.record
             and row.lapsed_until == float("-inf")
+            and not _tells_remaining_time(item.record)
         )
         self.rows[item.key] = Row(
             revision=item.revision,
@@ -254,6 +255,11 @@
     )
 
 
+def _tells_remaining_time(record: Record | None) -> bool:
+    """Return whether a record means something else if written later."""
+    return isinstance(record, Server) and record.cold_left_s > 0
+
+
 def _reverts_state(old: Record | None, new: Record | None) -> bool:
     """Return whether `new` would revert or remove a desired state."""
     if not isinstance(old, DesiredState):
