Send to a cold server at once or choose again

Callers saw a cold server end: a send waits up to a second for a connection after it was counted, and then arrives together with those of the next window. The choice of a cold server now holds as long as the window is longer than the second that it keeps. test_choice_of_a_cold_server_is_sent_at_once_or_not failed before.

--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -8,6 +8,7 @@
 import logbook
 
 from chiverun.core.bytebudget import ByteBudget
+from chiverun.core.coldlimit import COLD_WINDOW_S
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
@@ -35,6 +36,9 @@
 # A choice of a server uses up budgets and rests on the catalog of its time.
 # Connecting takes less, so an older choice means that the process was paused.
 CHOICE_VALID_S = 1.0
+# The rate of a cold server is counted when it is chosen, and a send that comes
+# later must still fall into the window that it was counted in.
+COLD_CHOICE_VALID_S = COLD_WINDOW_S - 1.0
 CONNECT_FAILED = "connect"
 RESPONSE_BYTES_MAX = 32 * 1024 * 1024
 # A server may close a connection that has been idle for longer just as it is
@@ -153,7 +157,7 @@
             remaining_s = deadline - now
             if remaining_s <= 0:
                 return SendResult(end=NotSent(detail="deadline passed"))
-            if now - chosen_at > CHOICE_VALID_S:
+            if now - chosen_at > _choice_valid_s(row, now):
                 return SendResult(end=NotSent(detail="choice is too old"))
             is_fresh = connection.exchanges == 0
             end = await connection.exchange(
@@ -352,6 +356,10 @@
         )
 
 
+def _choice_valid_s(row: ServerRow, now: float) -> float:
+    return COLD_CHOICE_VALID_S if now < row.cold_until else CHOICE_VALID_S
+
+
 def _load_at_selection(row: ServerRow, now: float) -> dict:
     """Return the load estimate at selection and the age of its report."""
     age_s = now - row.load.reported_at
