Ask servers whether they are cold while no news of them comes

Callers of a zone that was cut off saw its servers end: the operator evacuated the zone meanwhile, so that its servers lost their caches, and its machines, which heard neither the store nor other zones, went on as before. Cause: only records tell that a server is cold. A machine whose catalog is old now asks the servers that it sends more than its part of a cold one's rate; they tell it in the answers of their health path.

--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -28,6 +28,7 @@
 from chiverun.integrations.catalogstore import CatalogStore
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.peers import ZmqPeers
+from chiverun.runtime.coldchecks import ColdChecks
 from chiverun.runtime.directory import Directory
 from chiverun.runtime.edgemetrics import EdgeMetrics
 from chiverun.runtime.follower import CatalogFollower
@@ -120,6 +121,13 @@
             metrics=self.metrics,
             stop_progress=self._stop_progress,
         )
+        self._cold_checks = ColdChecks(
+            table=self._servers,
+            selector=selector,
+            sender=self._sender,
+            routes=lambda: self._steering.routes,
+            catalog_age_s=self.follower.age_s,
+        )
         self.directory = Directory(
             table=self.follower.table, leaving=self.is_stopping
         )
@@ -182,6 +190,7 @@
             await self._listen(address, ListenerState(handler=handler))
         self._start_task("follow", self.follower.follow)
         self._start_task("beat", self.follower.send_heartbeats_forever)
+        self._start_task("cold", self._cold_checks.check_forever)
         self._start_task("limits", self._limits.send_forever)
         _LOG.info(
             "started",
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -292,6 +292,18 @@
     ) -> bool:
         if now >= row.cold_until or spec is None:
             return True
+        return self._is_within_cold_part(row, spec, now)
+
+    def exceeds_cold_part(
+        self, row: ServerRow, spec: ServiceSpec, now: float
+    ) -> bool:
+        """Return whether a server gets more than it may while it is cold."""
+        is_used = row.cold.recent_sends(now) > 0
+        return is_used and not self._is_within_cold_part(row, spec, now)
+
+    def _is_within_cold_part(
+        self, row: ServerRow, spec: ServiceSpec, now: float
+    ) -> bool:
         per_s = (
             spec.cold_per_s * self._bounds.cold_excess
             + self._bounds.cold_extra
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -135,6 +135,44 @@
         self._log(row, result, request, metadata, started_at, selection)
         return result
 
+    async def check_health(
+        self, row: ServerRow, path: str, timeout_s: float
+    ) -> SendResult:
+        """Ask a server how it is; return its response."""
+        now = self._loop.time()
+        connection = row.pop_idle(now, row.keep_alive_s)
+        if connection is None:
+            connection = await self._connect(row, now + timeout_s)
+        if isinstance(connection, NotSent):
+            return SendResult(end=connection)
+        headers = self._header_codec.request_headers(
+            [("Host", row.server.address)], row.server, timeout_s
+        )
+        try:
+            end = await connection.exchange(
+                OutgoingRequest(
+                    method=b"GET",
+                    target=path.encode("ascii"),
+                    headers=_encode_headers(headers),
+                    body=b"",
+                    matches_request=lambda rows: True,
+                ),
+                timeout_s,
+            )
+        except BaseException:
+            connection.abort()
+            raise
+        finally:
+            row.release(connection, self._loop.time())
+        if not isinstance(end, Answered):
+            return SendResult(end=end)
+        return SendResult(
+            end=end,
+            metadata=self._header_codec.response_metadata(
+                end.status, list(end.headers)
+            ),
+        )
+
     async def _exchange(
         self,
         row: ServerRow,
@@ -213,10 +251,7 @@
         return OutgoingRequest(
             method=request.method.encode("ascii"),
             target=request.target.encode("ascii"),
-            headers=[
-                (name.encode("latin-1"), value.encode("latin-1"))
-                for name, value in headers
-            ],
+            headers=_encode_headers(headers),
             body=request.body,
             matches_request=lambda rows: self._matches_request(rows, metadata),
         )
@@ -356,6 +391,13 @@
         )
 
 
+def _encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    return [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers
+    ]
+
+
 def _choice_valid_s(row: ServerRow, now: float) -> float:
     return COLD_CHOICE_VALID_S if now < row.cold_until else CHOICE_VALID_S
 
