--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -30,6 +30,9 @@
 # Each time-out raises the next call's limit up to this value, so that a slow
 # store can still be read.
 CALL_TIMEOUT_MAX_S = 6.0
+# Header that counts how often the store was restored from an older copy, after
+# which its revisions go back.
+_ERA = "store-era"
 _BODY_BYTES_MAX = 64 * 1024 * 1024
 _PAGES_MAX = 200
 
@@ -41,6 +44,7 @@
         self._address = address
         self._connection: ClientConnection | None = None
         self._timeout_s = CALL_TIMEOUT_S
+        self._era: str | None = None
 
     async def read_all(self) -> Changes:
         """Return all records.
@@ -160,8 +164,18 @@
             connection.abort()
             raise CatalogUnavailable(f"{path}: {end}")
         self._timeout_s = max(CALL_TIMEOUT_S, self._timeout_s * 0.9)
+        self._log_era(end)
         return end
 
+    def _log_era(self, answer: Answered) -> None:
+        headers = {name.lower(): value for name, value in answer.headers}
+        era = headers.get(_ERA)
+        if era != self._era:
+            _LOG.info(
+                "store era changed", extra={"era": era, "before": self._era}
+            )
+            self._era = era
+
     async def _get_connection(self) -> ClientConnection:
         if self._connection is None or not self._connection.reusable:
             try:
