--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -38,6 +38,14 @@
     lose_writes: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """What a store held at a revision."""
+
+    items: dict[str, tuple[int, bytes]]
+    revision: int
+
+
 class MetaStore:
     """Items by key, each with the revision of its last change."""
 
@@ -45,6 +53,8 @@
         self.items: dict[str, tuple[int, bytes]] = {}
         self.revision = 1
         self.compacted_revision = 0
+        # Raised with each restoration from an older copy.
+        self.era = 1
         self.calls = 0
         self.faults = Faults()
         self._events: list[dict] = []
@@ -72,8 +82,24 @@
         self.compacted_revision = self.revision
         self._events.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from."""
+        return StoreCopy(items=dict(self.items), revision=self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; revisions after it are given out again."""
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.forget_history()
+        self.era += 1
+
     async def handle(self, incoming: IncomingRequest) -> OutgoingResponse:
-        """Handle one call."""
+        """Handle one call; each response names the store's era."""
+        response = await self._handle(incoming)
+        era = ("Store-Era", str(self.era))
+        return dataclasses.replace(response, headers=[*response.headers, era])
+
+    async def _handle(self, incoming: IncomingRequest) -> OutgoingResponse:
         self.calls += 1
         faults = self.faults
         if faults.silent:
@@ -116,7 +142,7 @@
     async def _watch(self, query: dict[str, str]) -> OutgoingResponse:
         after = int(query["after"])
         wait_s = int(query["waitMs"]) / 1000.0
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self.revision:
             return _response(410, {"error": "history gone"})
         async with self._changed:
             # asyncio.wait_for would run the wait in a separate task, which
