Order the store's records by era and revision

Callers got 404 on a route that had been added, or were handled as an older state allows, for seconds after the store came back from an older copy. Cause: revisions were taken for the order of events, and a restored store gives them out again: the replica dropped what came with a revision that it had seen, and kept a revision from which a watch skips changes. A revision now carries the store's era, in the store's client, the replica and all messages. A machine that meets a later era reads everything, from the store or from a machine that has; messages of an older era count only for a higher version of the desired state. What the copy says against later knowledge (a drained server, a gone one, an evacuation) is held for 6 s, unless it is written again. A machine whose registration is lost writes it again.

--- a/chiverun/core/catalog.py
+++ b/chiverun/core/catalog.py
@@ -17,8 +17,6 @@
 from chiverun.core.ids import ServiceName
 from chiverun.core.ids import ZoneName
 
-# Modification counter of the platform's store.
-Revision = NewType("Revision", int)
 # Version number that operators assign to a desired state.
 StateVersion = NewType("StateVersion", int)
 
--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -6,12 +6,12 @@
 import msgspec
 
 from chiverun.core.catalog import Machine
-from chiverun.core.catalog import Revision
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import ServerName
 from chiverun.core.replica import VersionedRecord
+from chiverun.core.revisions import Revision
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="b"):
--- a/chiverun/core/replica.py
+++ b/chiverun/core/replica.py
@@ -1,7 +1,10 @@
 """Replica of the store's records, merged by revision.
 
 Records arrive from the store or from peers, in any order and repeatedly; the
-highest revision of each key wins.
+highest revision of each key wins. A store that is restored from an older copy
+begins a new era. What its first listing says against later knowledge is held
+back for a while, since those who wrote it write it again; what is written in
+the new era counts at once.
 """
 
 import dataclasses
@@ -10,14 +13,19 @@
 
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
-from chiverun.core.catalog import Revision
 from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
 from chiverun.core.ids import ZoneName
+from chiverun.core.revisions import era_of
+from chiverun.core.revisions import Revision
+from chiverun.core.revisions import store_revision_of
 
 # Servers that are alive register again within 2 s after a store outage, in
 # which their records may have expired.
 LAPSE_GRACE_S = 2.0
+# The platform removes the records of servers that have been silent for three
+# reports of 1.5 s. What a copy still says after that is no remnant.
+RESTORE_HOLD_S = 6.0
 # Longer than any message can be in transit, so none revives a deleted record.
 TOMBSTONE_S = 120.0
 
@@ -53,7 +61,8 @@
 
     `content_revision` is the revision at which the decoded record last
     changed. `lapsed_until` is set while a server whose record has been
-    deleted stays in use.
+    deleted stays in use. `held` is what a restored store says instead of the
+    record, which stays in use until `held_until`.
     """
 
     revision: Revision
@@ -61,6 +70,8 @@
     record: Record | None
     changed_at: float
     lapsed_until: float = float("-inf")
+    held: VersionedRecord | None = None
+    held_until: float = float("-inf")
 
 
 class Replica:
@@ -96,12 +107,27 @@
         changed = []
         for item in items:
             row = self.rows.get(item.key)
-            if row is not None and item.revision <= row.revision:
+            if self._is_superseded(item, row):
                 continue
             if self._merge(item, row, now, lapse_until):
                 changed.append(item)
         return changed
 
+    def _is_superseded(self, item: VersionedRecord, row: Row | None) -> bool:
+        """Return whether something later is known of the record's key.
+
+        Versions of the desired state tell this better than revisions.
+        """
+        known = row.record if row is not None else None
+        if isinstance(item.record, DesiredState):
+            if not isinstance(known, DesiredState):
+                return False
+            if item.record.version != known.version:
+                return item.record.version < known.version
+        if era_of(item.revision) < era_of(self.as_of):
+            return True
+        return row is not None and item.revision <= row.revision
+
     def _merge(
         self,
         item: VersionedRecord,
@@ -129,6 +155,7 @@
             row.revision = item.revision
             row.content_revision = item.revision
             row.lapsed_until = lapse_until
+            row.held = None
             return True
         unchanged = (
             row is not None
@@ -159,6 +186,8 @@
         The desired state is never deleted. A deletion found this way has no
         revision of its own and gets that of the listing.
         """
+        if era_of(as_of) < era_of(self.as_of):
+            return []
         present = {item.key for item in items}
         deleted = [
             VersionedRecord(key=key, revision=as_of)
@@ -168,6 +197,9 @@
             and row.revision <= as_of
             and not isinstance(row.record, DesiredState)
         ]
+        if self.as_of and era_of(as_of) > era_of(self.as_of):
+            deleted = self._hold_back(deleted, now)
+            items = self._hold_back(items, now)
         changed = []
         for item in deleted:
             if self._merge(item, self.rows[item.key], now, lapse_until):
@@ -177,6 +209,38 @@
         self.history_from = max(self.history_from, as_of)
         return changed
 
+    def _hold_back(
+        self, items: list[VersionedRecord], now: float
+    ) -> list[VersionedRecord]:
+        """Hold what may be older than the rows; return the rest."""
+        rest = []
+        for item in items:
+            row = self.rows.get(item.key)
+            if row is not None and _may_be_older(item, row):
+                row.held = item
+                row.held_until = now + RESTORE_HOLD_S
+            else:
+                rest.append(item)
+        return rest
+
+    def release_held(self, now: float) -> list[VersionedRecord]:
+        """Apply what has been held long enough; return what it changed."""
+        due = [
+            (row.held, row)
+            for row in self.rows.values()
+            if row.held is not None and row.held_until <= now
+        ]
+        changed = []
+        for item, row in due:
+            row.held = None
+            if self._merge(item, row, now, float("-inf")):
+                changed.append(item)
+        return changed
+
+    def held_keys(self) -> list[str]:
+        """Return the keys for which the store's word is held back."""
+        return [key for key, row in self.rows.items() if row.held is not None]
+
     def expire(self, now: float) -> list[str]:
         """Drop servers past `lapsed_until` and old tombstones."""
         dropped = []
@@ -186,6 +250,8 @@
                 row.lapsed_until = float("-inf")
                 row.changed_at = now
                 dropped.append(key)
+            elif row.held is not None:
+                continue
             elif row.record is None and now - row.changed_at > TOMBSTONE_S:
                 self.history_from = max(self.history_from, row.revision)
                 del self.rows[key]
@@ -197,18 +263,15 @@
         They are complete only if the revision is at least `history_from`.
         """
         return [
-            _versioned_record(key, row)
+            _stored_record(key, row)
             for key, row in self.rows.items()
-            if row.content_revision > revision
+            if _changed_at_revision(row) > revision
         ]
 
     def listing(self) -> list[VersionedRecord]:
-        """Return all rows that have a record in the store."""
-        return [
-            _versioned_record(key, row)
-            for key, row in self.rows.items()
-            if row.record is not None and row.lapsed_until == float("-inf")
-        ]
+        """Return all records as the store has them."""
+        items = [_stored_record(key, row) for key, row in self.rows.items()]
+        return [item for item in items if item.record is not None]
 
     def desired_state(self) -> DesiredState | None:
         """Return the desired state in force."""
@@ -246,7 +309,10 @@
         )
 
 
-def _versioned_record(key: str, row: Row) -> VersionedRecord:
+def _stored_record(key: str, row: Row) -> VersionedRecord:
+    """Return what the store says of a key, also if it is not in use."""
+    if row.held is not None:
+        return row.held
     is_lapsed = row.lapsed_until > float("-inf")
     return VersionedRecord(
         key=key,
@@ -255,6 +321,28 @@
     )
 
 
+def _changed_at_revision(row: Row) -> Revision:
+    """Return the revision at which the store's record last changed."""
+    return row.content_revision if row.held is None else row.held.revision
+
+
+def _may_be_older(item: VersionedRecord, row: Row) -> bool:
+    """Return whether a restored store may have forgotten a later record.
+
+    A revision above that of the row was given out after the restoration, or
+    the row would have it.
+    """
+    if not isinstance(row.record or item.record, Server | Evacuation):
+        return False
+    if item.record is None:
+        # A server that is missing lapses like one after an outage.
+        return isinstance(row.record, Evacuation)
+    is_later = store_revision_of(item.revision) > store_revision_of(
+        row.revision
+    )
+    return item.record != row.record and not is_later
+
+
 def _tells_remaining_time(record: Record | None) -> bool:
     """Return whether a record means something else if written later."""
     return isinstance(record, Server) and record.cold_left_s > 0
--- a/chiverun/integrations/catalogstore.py
+++ b/chiverun/integrations/catalogstore.py
@@ -6,8 +6,8 @@
 
 if TYPE_CHECKING:
     from chiverun.core.catalog import Machine
-    from chiverun.core.catalog import Revision
     from chiverun.core.replica import VersionedRecord
+    from chiverun.core.revisions import Revision
 
 
 class CatalogUnavailable(Exception):
@@ -18,7 +18,10 @@
 
 
 class HistoryCompacted(Exception):
-    """Raised when the store has discarded the changes since a revision."""
+    """Raised when the store does not have the changes since a revision.
+
+    It has discarded them, or has been restored from an older copy.
+    """
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -8,11 +8,17 @@
 import logbook
 
 from chiverun.core.catalog import Machine
-from chiverun.core.catalog import Revision
 from chiverun.core.exchange import Answered
 from chiverun.core.ids import Address
 from chiverun.core.replica import Unreadable
 from chiverun.core.replica import VersionedRecord
+from chiverun.core.revisions import Era
+from chiverun.core.revisions import ERA_MAX
+from chiverun.core.revisions import era_of
+from chiverun.core.revisions import make_revision
+from chiverun.core.revisions import Revision
+from chiverun.core.revisions import STORE_REVISION_MAX
+from chiverun.core.revisions import store_revision_of
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
 from chiverun.integrations.asyncclient import OutgoingRequest
@@ -33,6 +39,7 @@
 # Header that counts how often the store was restored from an older copy, after
 # which its revisions go back.
 _ERA = "store-era"
+_ERA_DIGITS = len(str(ERA_MAX))
 _BODY_BYTES_MAX = 64 * 1024 * 1024
 _PAGES_MAX = 200
 
@@ -44,7 +51,7 @@
         self._address = address
         self._connection: ClientConnection | None = None
         self._timeout_s = CALL_TIMEOUT_S
-        self._era: str | None = None
+        self._era = Era(0)
 
     async def read_all(self) -> Changes:
         """Return all records.
@@ -62,10 +69,13 @@
         path = "/-/kv-range?prefix="
         for _ in range(_PAGES_MAX):
             body = await self._get(path)
+            page_at = make_revision(self._era, body["storeRevision"])
             if as_of is None:
-                as_of = Revision(body["storeRevision"])
+                as_of = page_at
+            if era_of(page_at) != era_of(as_of):
+                raise CatalogUnavailable("restored between two pages")
             rows = valid_rows(body, "items")
-            items += [item for row in rows if (item := decode_item(row))]
+            items += self._decode_rows(rows)
             if not body.get("hasMore") or not rows:
                 return Changes(items=items, as_of=as_of)
             after = quote(rows[-1]["key"], safe="")
@@ -87,16 +97,22 @@
         HistoryGone
         """
         body = await self._get(
-            f"/-/kv-watch?prefix=&after={revision}"
+            f"/-/kv-watch?prefix=&after={store_revision_of(revision)}"
             f"&waitMs={int(wait_s * 1000)}",
             wait_s=wait_s,
         )
-        rows = valid_rows(body, "events")
+        if era_of(revision) != self._era:
+            # The revision is one of another history.
+            raise HistoryCompacted
         return Changes(
-            items=[item for row in rows if (item := decode_item(row))],
-            as_of=Revision(body["storeRevision"]),
+            items=self._decode_rows(valid_rows(body, "events")),
+            as_of=make_revision(self._era, body["storeRevision"]),
         )
 
+    def _decode_rows(self, rows: list[dict]) -> list[VersionedRecord]:
+        items = [decode_item(row, self._era) for row in rows]
+        return [item for item in items if item is not None]
+
     async def register(
         self, machine: Machine, known_revision: Revision
     ) -> bool:
@@ -112,7 +128,9 @@
         key, value = records.encode_machine(machine)
         row = {"key": key, "value": base64.b64encode(value).decode()}
         body = {
-            "expectedRev": [{"key": key, "revision": known_revision}],
+            "expectedRev": [
+                {"key": key, "revision": store_revision_of(known_revision)}
+            ],
             "writes": [row],
             "remove": [],
         }
@@ -164,12 +182,18 @@
             connection.abort()
             raise CatalogUnavailable(f"{path}: {end}")
         self._timeout_s = max(CALL_TIMEOUT_S, self._timeout_s * 0.9)
-        self._log_era(end)
+        self._follow_era(end, path)
         return end
 
-    def _log_era(self, answer: Answered) -> None:
+    def _follow_era(self, answer: Answered, path: str) -> None:
+        """Take the era from an answer; only later ones are followed."""
         headers = {name.lower(): value for name, value in answer.headers}
-        era = headers.get(_ERA)
+        era = _parse_era(headers.get(_ERA), self._era)
+        if era is None or era < self._era:
+            raise CatalogUnavailable(
+                f"{path}: {_ERA}: {headers[_ERA]!r} is not valid; expected "
+                f"a whole number from {self._era} to {ERA_MAX}"
+            )
         if era != self._era:
             _LOG.info(
                 "store era changed", extra={"era": era, "before": self._era}
@@ -189,6 +213,18 @@
         return self._connection
 
 
+def _parse_era(text: str | None, known: Era) -> Era | None:
+    """Return the era that a header names, None if it is not valid.
+
+    Without the header the known one holds.
+    """
+    if text is None:
+        return known
+    if not (text.isascii() and text.isdigit() and len(text) <= _ERA_DIGITS):
+        return None
+    return Era(int(text)) if int(text) <= ERA_MAX else None
+
+
 def decode_body(data: bytes, path: str) -> dict[str, Any]:
     """Decode a response of the store.
 
@@ -199,7 +235,7 @@
     """
     try:
         body = json.loads(data)
-        values.integer(body, "storeRevision")
+        values.integer(body, "storeRevision", maximum=STORE_REVISION_MAX)
     except (ValueError, RecursionError) as exc:
         raise CatalogUnavailable(f"{path}: {exc}") from exc
     return body
@@ -214,7 +250,7 @@
     for row in rows:
         try:
             values.field(row, "key", str)
-            values.integer(row, "revision")
+            values.integer(row, "revision", maximum=STORE_REVISION_MAX)
         except values.InvalidValueError as exc:
             _LOG.warning(
                 "skipping malformed store row", extra={"reason": str(exc)}
@@ -224,12 +260,12 @@
     return readable
 
 
-def decode_item(row: dict[str, Any]) -> VersionedRecord | None:
+def decode_item(row: dict[str, Any], era: Era) -> VersionedRecord | None:
     """Decode an item or event; return None for keys that are not used."""
     key = row["key"]
     if not key.startswith(records.PREFIXES):
         return None
-    revision = Revision(row["revision"])
+    revision = make_revision(era, row["revision"])
     if row.get("deleted"):
         return VersionedRecord(key=key, revision=revision)
     try:
--- a/chiverun/platform/values.py
+++ b/chiverun/platform/values.py
@@ -5,6 +5,8 @@
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _SECONDS = {"ms": 0.001, "s": 1.0}
+# Largest integer that messages to other instances can hold.
+INTEGER_MAX = 2**63 - 1
 
 
 class InvalidValueError(ValueError):
@@ -58,16 +60,20 @@
     return float(value)
 
 
-def integer(body: Any, name: str, *, minimum: int = 0) -> int:
-    """Return an integer field that is at least `minimum`.
+def integer(
+    body: Any, name: str, *, minimum: int = 0, maximum: int = INTEGER_MAX
+) -> int:
+    """Return an integer field that is from `minimum` to `maximum`.
 
     Raises
     ------
     Malformed
     """
     value = field(body, name, int)
-    if value < minimum:
-        raise InvalidValueError(f"{name}: {value!r} is below {minimum}")
+    if not minimum <= value <= maximum:
+        raise InvalidValueError(
+            f"{name}: {value!r} is not from {minimum} to {maximum}"
+        )
     return value
 
 
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -16,7 +16,6 @@
 from chiverun.core import edgemessages
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
-from chiverun.core.catalog import Revision
 from chiverun.core.catalog import Server
 from chiverun.core.edgemessages import Heartbeat
 from chiverun.core.edgemessages import LimitReports
@@ -33,6 +32,9 @@
 from chiverun.core.replica import LAPSE_GRACE_S
 from chiverun.core.replica import Replica
 from chiverun.core.replica import VersionedRecord
+from chiverun.core.revisions import era_of
+from chiverun.core.revisions import Revision
+from chiverun.core.revisions import store_revision_of
 from chiverun.integrations.catalogstore import CatalogStore
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
@@ -133,10 +135,12 @@
         """Send heartbeats and expire old rows; never returns."""
         while True:
             self.heartbeats.send(self._reads_store)
-            dropped = self.replica.expire(self._loop.time())
+            now = self._loop.time()
+            dropped = self.replica.expire(now)
             if dropped:
                 _LOG.info("lapsed servers dropped", extra={"keys": dropped})
                 self._on_change()
+            self._publish_changes(self.replica.release_held(now), "restored")
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     def leave(self) -> None:
@@ -158,7 +162,12 @@
             )
         self._is_reader = is_reader
         self._is_relay = is_reader or self.table.is_relay_silent(now)
-        return self._is_relay
+        return self._is_relay or self._must_register()
+
+    def _must_register(self) -> bool:
+        """Return whether the store lacks this machine's record."""
+        is_registered = self._me in self.replica.machines()
+        return not is_registered and not self.heartbeats.leaving
 
     async def _read(self) -> None:
         if self._needs_full_read:
@@ -174,7 +183,7 @@
             except HistoryCompacted:
                 _LOG.warning(
                     "store history has expired; reading the full catalog",
-                    extra={"as_of": self.replica.as_of},
+                    extra={"as_of": store_revision_of(self.replica.as_of)},
                 )
                 self._needs_full_read = True
                 raise
@@ -185,13 +194,13 @@
     async def _register(self) -> None:
         """Write this machine's record unless it is already up to date."""
         own_rows = [
-            (row.revision, row.record)
+            row.revision
             for row in self.replica.rows.values()
             if isinstance(row.record, Machine)
             and row.record.name == self._me.name
         ]
-        revision, record = own_rows[0] if own_rows else (Revision(0), None)
-        if record == self._me or self.heartbeats.leaving:
+        revision = own_rows[0] if own_rows else Revision(0)
+        if not self._must_register():
             return
         is_written = await self._store.register(self._me, revision)
         _LOG.info("registered", extra={"written": is_written})
@@ -221,12 +230,26 @@
         self, items: list[VersionedRecord], as_of: Revision, source: str
     ) -> None:
         since = self.replica.as_of
+        now = self._loop.time()
+        is_new_era = bool(since) and era_of(as_of) > era_of(since)
+        if is_new_era:
+            # Records of servers may be missing in the copy.
+            self._lapse_until = max(self._lapse_until, now + LAPSE_GRACE_S)
         changed = self.replica.replace(
-            items,
-            as_of,
-            now=self._loop.time(),
-            lapse_until=self._lapse_until,
+            items, as_of, now=now, lapse_until=self._lapse_until
         )
+        if is_new_era:
+            _LOG.warning(
+                "store restored from an older copy",
+                extra={
+                    "source": source,
+                    "era": era_of(as_of),
+                    "as_of": store_revision_of(as_of),
+                    "before_era": era_of(since),
+                    "before_as_of": store_revision_of(since),
+                    "held": self.replica.held_keys(),
+                },
+            )
         self._publish_changes(changed, source)
         self._relay(since, changed, from_listing=True)
 
@@ -330,6 +353,11 @@
         now = self._loop.time()
         if not update.relayed and self.table.passes_on(update.sender, now):
             self._pass_on(update)
+        if era_of(update.as_of) < era_of(self.replica.as_of):
+            # The sender has not heard of the restoration yet.
+            changed = self.replica.apply(update.items, now=now)
+            self._publish_changes(changed, f"peer {update.sender}")
+            return
         if _is_incomplete(update, self.replica.as_of):
             self._pull_from(update.sender)
             return
@@ -350,9 +378,11 @@
 
     def _pull_from(self, sender: InstanceId) -> None:
         """Ask for missed changes in the own zone, or their sender."""
-        hubs = self.table.zone_hubs(self._loop.time())
+        now = self._loop.time()
+        hubs = self.table.zone_hubs(now)
         machine = self.table.machine(sender)
-        if machine is None or machine.zone != self._me.zone:
+        is_remote = machine is None or machine.zone != self._me.zone
+        if is_remote and not self.table.passes_on(sender, now):
             machine = next((hub for hub in hubs if hub != self._me), machine)
         if machine is not None:
             self._peers.send(
@@ -391,7 +421,8 @@
                 "record changed",
                 extra={
                     "key": item.key,
-                    "revision": item.revision,
+                    "revision": store_revision_of(item.revision),
+                    "era": era_of(item.revision),
                     "source": source,
                     **_describe(item),
                 },
@@ -401,7 +432,7 @@
 
 def _is_incomplete(update: Update, as_of: Revision) -> bool:
     """Return whether an update lacks changes for a replica at `as_of`."""
-    if update.since > as_of:
+    if update.since > as_of or era_of(update.as_of) > era_of(as_of):
         return True
     return update.from_listing and update.since < as_of < update.as_of
 
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -18,6 +18,7 @@
 from chiverun.core.errors import ChiverunError
 from chiverun.core.replica import Unreadable
 from chiverun.core.replica import VersionedRecord
+from chiverun.core.revisions import Era
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.platform import store as store_module
 from chiverun.platform.records import decode_record
@@ -121,7 +122,7 @@
                 except CatalogUnavailable:
                     continue
                 for row in rows:
-                    store_module.decode_item(row)
+                    store_module.decode_item(row, Era(1))
 
 
 class PeerMessageTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -5,6 +5,8 @@
 import unittest
 
 from chiverun.core.catalog import Machine
+from chiverun.core.revisions import Era
+from chiverun.core.revisions import make_revision
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import HistoryCompacted
 from chiverun.platform import store as store_module
@@ -50,7 +52,8 @@
             await self.standin.put(f"servers/i-{i:03}", server_entry())
         changes = await self.store.read_all()
         self.assertEqual(len(changes.items), 121)
-        self.assertEqual(changes.as_of, self.standin.revision)
+        as_of = make_revision(Era(1), self.standin.revision)
+        self.assertEqual(changes.as_of, as_of)
 
     async def test_watch_returns_changes_and_deletions(self) -> None:
         """Guards against a watch that loses deletions."""
@@ -71,6 +74,35 @@
         with self.assertRaises(HistoryCompacted):
             await self.store.changes_since(as_of, 0.1)
 
+    async def test_watch_into_another_era_is_missing_history(self) -> None:
+        """Guards against changes that were skipped by a restoration.
+
+        The store has passed the revision once more.
+        """
+        older = self.standin.copy()
+        await self.standin.put("servers/a", server_entry())
+        as_of = (await self.store.read_all()).as_of
+        self.standin.restore(older)
+        for _ in range(4):
+            await self.standin.put("servers/b", server_entry())
+        with self.assertRaises(HistoryCompacted):
+            await self.store.changes_since(as_of, 0.1)
+        restored_at = (await self.store.read_all()).as_of
+        self.assertGreater(restored_at, as_of)
+        await self.standin.put("servers/c", server_entry())
+        changes = await self.store.changes_since(restored_at, 0.1)
+        self.assertEqual(["servers/c"], [item.key for item in changes.items])
+
+    async def test_unknown_era_is_no_answer(self) -> None:
+        """Guards against revisions that are ordered by a wrong era."""
+        await self.store.read_all()
+        for era in (0, -1, "x", 10**30, ""):
+            self.standin.era = era
+            with self.assertRaises(CatalogUnavailable):
+                await self.store.read_all()
+        self.standin.era = 1
+        await self.store.read_all()
+
     async def test_store_failure_is_not_an_empty_list(self) -> None:
         """Guards against treating a failing store as an empty one."""
         for faults in (
