Tell other machines what ends the hold of a record

Found by the simulated fleet: after a restoration the reader hears that a server which the copy brought back has left; for the reader nothing changes, so it told nobody, and after 6 s the others used the server again. More tests of restorations: the replica, and fleets that miss one, are started again or cut off.

--- a/chiverun/core/replica.py
+++ b/chiverun/core/replica.py
@@ -161,6 +161,7 @@
             row is not None
             and row.record == item.record
             and row.lapsed_until == float("-inf")
+            and row.held is None
             and not _tells_remaining_time(item.record)
         )
         self.rows[item.key] = Row(
--- a/tests/core/test_replica.py
+++ b/tests/core/test_replica.py
@@ -1,5 +1,6 @@
 """Tests of the replica: records never revert, in any order of arrival."""
 
+import dataclasses
 import unittest
 
 from nose2.tools import params
@@ -9,10 +10,13 @@
 from chiverun.core.catalog import ServerState
 from chiverun.core.replica import Evacuation
 from chiverun.core.replica import LAPSE_GRACE_S
+from chiverun.core.replica import Record
 from chiverun.core.replica import Replica
+from chiverun.core.replica import RESTORE_HOLD_S
 from chiverun.core.replica import TOMBSTONE_S
 from chiverun.core.replica import Unreadable
 from chiverun.core.replica import VersionedRecord
+from chiverun.core.revisions import make_revision
 from tests.records import make_server
 
 
@@ -151,3 +155,148 @@
         self.assertEqual(0, self.replica.history_from)
         self.replica.expire(1.0 + TOMBSTONE_S + 1)
         self.assertEqual(7, self.replica.history_from)
+
+
+_READY = make_server("a")
+_DRAINING = make_server("a", state=ServerState.DRAINING)
+_STARTED_AGAIN = make_server("a", started_ms=2)
+_EVACUATED = Evacuation(zone="z1")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Restoration:
+    """A record before and after the store was restored.
+
+    `known` is written at revision `known_at`; the copy has `copied` from
+    revision 3, or nothing. `held` is whether the known one stays in use.
+    """
+
+    known: Record | None
+    copied: Record | None
+    known_at: int = 7
+    copied_at: int = 3
+    held: bool = True
+
+
+class RestoredReplicaTest(unittest.TestCase):
+    """The store is restored from the copy of revision 5; it was at 9."""
+
+    def setUp(self) -> None:
+        self.replica = Replica()
+
+    def _write(self, era: int, revision: int, record: Record | None) -> None:
+        item = _versioned("a", make_revision(era, revision), record)
+        self.replica.apply([item], now=10.0)
+
+    def _list(self, era: int, revision: int, record: Record | None) -> None:
+        items = []
+        if record is not None:
+            items = [_versioned("a", make_revision(era, revision), record)]
+        as_of = make_revision(era, 5)
+        self.replica.replace(items, as_of, now=10.0)
+
+    def _in_use(self) -> Record | None:
+        return self.replica.rows["a"].record
+
+    @params(
+        # A server that drains, has left, or was started again.
+        _Restoration(known=_DRAINING, copied=_READY),
+        _Restoration(known=None, copied=_READY),
+        _Restoration(known=_STARTED_AGAIN, copied=_READY),
+        # An evacuation, and the end of one.
+        _Restoration(known=_EVACUATED, copied=None),
+        _Restoration(known=None, copied=_EVACUATED),
+        # A record that was not written between the copy and the outage, so
+        # that a later revision can only come from after it.
+        _Restoration(
+            known=_READY, copied=_DRAINING, known_at=2, copied_at=4, held=False
+        ),
+        _Restoration(
+            known=None, copied=_EVACUATED, known_at=2, copied_at=4, held=False
+        ),
+    )
+    def test_later_knowledge_outlasts_the_copy_for_a_while(self, case) -> None:
+        """Guards against a server that is used again after it has left.
+
+        Who wrote the record writes it again, unless it is no longer there.
+        """
+        self._write(1, 3, case.copied or case.known)
+        self._write(1, case.known_at, case.known)
+        self.replica.as_of = make_revision(1, 9)
+        self._list(2, case.copied_at, case.copied)
+        expected = case.known if case.held else case.copied
+        self.assertEqual(expected, self._in_use())
+        self.assertEqual(["a"] if case.held else [], self.replica.held_keys())
+        before = 10.0 + RESTORE_HOLD_S - 0.1
+        self.assertEqual([], self.replica.release_held(before))
+        self.replica.expire(before)
+        self.assertEqual(expected, self._in_use())
+        self.replica.release_held(before + 0.2)
+        self.assertEqual(case.copied, self._in_use())
+
+    @params(1, 2)
+    def test_record_written_after_a_restoration_is_in_use(self, times) -> None:
+        """Guards against news that is dropped for its low revision."""
+        self._write(1, 7, _DRAINING)
+        self.replica.as_of = make_revision(1, 9)
+        for number in range(times):
+            era = 2 + number
+            self._list(era, 3, _READY)
+            self.assertEqual(_DRAINING, self._in_use())
+            self._write(era, 6, _STARTED_AGAIN)
+            self.assertEqual(_STARTED_AGAIN, self._in_use())
+            self._write(era, 7, _DRAINING)
+        self.replica.release_held(10.0 + 2 * RESTORE_HOLD_S)
+        self.assertEqual(_DRAINING, self._in_use())
+
+    def test_missed_era_changes_nothing(self) -> None:
+        """Guards against a machine that was paused while two eras began."""
+        self._write(1, 7, _DRAINING)
+        self.replica.as_of = make_revision(1, 9)
+        self._list(3, 3, _READY)
+        self.assertEqual(_DRAINING, self._in_use())
+        self._write(2, 8, _READY)
+        self.assertEqual(_DRAINING, self._in_use())
+        self._write(3, 6, _READY)
+        self.assertEqual(_READY, self._in_use())
+
+    def test_older_era_is_ignored(self) -> None:
+        """Guards against a late message that brings a gone server back."""
+        self._list(2, 3, None)
+        self._write(1, 8, _READY)
+        self.assertNotIn("a", self.replica.rows)
+        as_of = make_revision(1, 9)
+        items = [_versioned("b", make_revision(1, 8), make_server("b"))]
+        self.assertEqual([], self.replica.replace(items, as_of, now=10.0))
+        self.assertEqual(make_revision(2, 5), self.replica.as_of)
+
+    @params((1, 3, 8, 8), (1, 9, 9, 9), (2, 1, 9, 9), (2, 1, 7, 8))
+    def test_highest_state_version_wins_in_any_era(
+        self, era, revision, version, in_force
+    ) -> None:
+        """Guards against a state that goes back, or does not go forward."""
+        self._write(1, 7, _state(8))
+        self._list(2, 3, _state(5))
+        self.assertEqual(8, self.replica.desired_state().version)
+        self._write(era, revision, _state(version))
+        self.assertEqual(in_force, self.replica.desired_state().version)
+
+    def test_server_that_is_missing_in_a_copy_lapses(self) -> None:
+        """Guards against servers lost until they have registered again."""
+        self._write(1, 7, _READY)
+        self.replica.as_of = make_revision(1, 9)
+        until = 10.0 + LAPSE_GRACE_S
+        self.replica.replace(
+            [], make_revision(2, 5), now=10.0, lapse_until=until
+        )
+        self.assertEqual(1, len(self.replica.servers()))
+        self.replica.expire(until + 0.1)
+        self.assertEqual([], self.replica.servers())
+
+    def test_other_machines_are_told_what_the_store_says(self) -> None:
+        """Guards against a held record that a new machine keeps for ever."""
+        self._write(1, 7, _EVACUATED)
+        self.replica.as_of = make_revision(1, 9)
+        self._list(2, 3, None)
+        self.assertEqual({"z1"}, self.replica.evacuated())
+        self.assertEqual([], self.replica.listing())
--- a/tests/runtime/fleet.py
+++ b/tests/runtime/fleet.py
@@ -8,10 +8,17 @@
 from chiverun.core.catalog import ClientLimits
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
+from chiverun.core.catalog import ServerState
 from chiverun.core.peertable import HEARTBEAT_PERIOD_S
+from chiverun.core.replica import Record
 from chiverun.core.replica import VersionedRecord
+from chiverun.core.revisions import Era
+from chiverun.core.revisions import era_of
+from chiverun.core.revisions import make_revision
+from chiverun.core.revisions import Revision
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
+from chiverun.integrations.catalogstore import HistoryCompacted
 from chiverun.runtime.follower import CatalogFollower
 from chiverun.runtime.follower import READ_PAUSE_S
 from chiverun.runtime.limitexchange import LimitExchange
@@ -34,45 +41,74 @@
         return self.now
 
 
-class _SharedStore:
-    """A store with a change log, as all machines see it."""
+class SharedStore:
+    """A store with a change log, as all machines see it.
+
+    It can be restored from an older copy, after which it gives out revisions
+    again in a later era.
+    """
 
     def __init__(self) -> None:
-        self.log: list[VersionedRecord] = []
+        self.log: list[tuple[str, Record | None]] = []
+        self.era = Era(1)
         self.calls = 0
+        self.down = False
 
     @property
     def revision(self) -> int:
-        return len(self.log) + 1
+        """The store's own revision."""
+        return len(self.log)
 
-    def write(self, key: str, record: object) -> None:
-        self.log.append(
-            VersionedRecord(key=key, revision=self.revision + 1, record=record)
-        )
+    @property
+    def as_of(self) -> Revision:
+        """The revision within its era."""
+        return make_revision(self.era, self.revision)
+
+    def write(self, key: str, record: Record | None) -> None:
+        """Write a record, or remove it."""
+        self.log.append((key, record))
+
+    def restore(self, revision: int) -> None:
+        """Forget what was written after a revision."""
+        del self.log[revision:]
+        self.era = Era(self.era + 1)
+
+    def items(self) -> list[VersionedRecord]:
+        """Return all changes of the log."""
+        return [
+            VersionedRecord(
+                key=key,
+                revision=make_revision(self.era, number + 1),
+                record=record,
+            )
+            for number, (key, record) in enumerate(self.log)
+        ]
 
 
 class _StoreClient:
     """The store as one machine reaches it."""
 
-    def __init__(self, *, store: _SharedStore) -> None:
+    def __init__(self, *, store: SharedStore) -> None:
         self._store = store
         self.reachable = True
 
     def _call(self) -> None:
         self._store.calls += 1
-        if not self.reachable:
+        if not self.reachable or self._store.down:
             raise CatalogUnavailable("cut")
 
     async def read_all(self) -> Changes:
         self._call()
-        latest = {item.key: item for item in self._store.log}
+        latest = {item.key: item for item in self._store.items()}
         items = [item for item in latest.values() if item.record is not None]
-        return Changes(items=items, as_of=self._store.revision)
+        return Changes(items=items, as_of=self._store.as_of)
 
     async def changes_since(self, revision: int, wait_s: float) -> Changes:
         self._call()
-        items = [item for item in self._store.log if item.revision > revision]
-        return Changes(items=items, as_of=self._store.revision)
+        if era_of(revision) != self._store.era:
+            raise HistoryCompacted
+        items = [i for i in self._store.items() if i.revision > revision]
+        return Changes(items=items, as_of=self._store.as_of)
 
     async def register(self, machine: Machine, known_revision: int) -> bool:
         self._call()
@@ -95,7 +131,7 @@
         regions: dict[str, str] | None = None,
     ) -> None:
         self.clock = _Clock()
-        self.store = _SharedStore()
+        self.store = SharedStore()
         self.store.write("op/config", desired_state(1))
         self.followers: dict[str, CatalogFollower] = {}
         self.exchanges: dict[str, LimitExchange] = {}
@@ -189,6 +225,8 @@
         if self.clock.now >= due[0]:
             due[0] = self.clock.now + HEARTBEAT_PERIOD_S
             follower.heartbeats.send(follower._reads_store)
+            follower.replica.expire(self.clock.now)
+            follower.replica.release_held(self.clock.now)
             self.exchanges[name].send()
         if self.clock.now >= due[1] and follower._must_read():
             due[1] = self.clock.now + READ_PAUSE_S
@@ -196,7 +234,7 @@
                 follower._read().send(None)
             except StopIteration:
                 pass
-            except CatalogUnavailable as exc:
+            except (CatalogUnavailable, HistoryCompacted) as exc:
                 follower._record_failure(exc)
                 follower._pull()
 
@@ -208,6 +246,18 @@
             if name not in self.down
         }
 
+    def in_use(self) -> set[frozenset[str]]:
+        """Return the ready servers that each live machine may use."""
+        return {
+            frozenset(
+                server.name
+                for server, _ in follower.replica.servers()
+                if server.state is ServerState.READY
+            )
+            for name, follower in self.followers.items()
+            if name not in self.down
+        }
+
     def named_by(self, name: str) -> set[str]:
         """Return the machines that a machine takes for live."""
         live = self.followers[name].table.live(self.clock.now)
