--- a/tests/adapter/edgecase.py
+++ b/tests/adapter/edgecase.py
@@ -111,6 +111,13 @@
         body = desired_state(version, **action)
         await self.store.put("op/config", json.dumps(body).encode())
 
+    async def _put_route(self, version: int, prefix: str) -> None:
+        """Write a desired state in which a route has been added."""
+        body = desired_state(version)
+        rules = body["listeners"][0]["rules"]
+        rules.append({**rules[1], "match": {"prefix": prefix}})
+        await self.store.put("op/config", json.dumps(body).encode())
+
     async def _start(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
--- a/tests/adapter/test_edge_restore.py
+++ b/tests/adapter/test_edge_restore.py
@@ -1,36 +1,19 @@
 """Tests of an edge instance whose store is restored from an older copy."""
 
 import asyncio
-import copy
-import json
 
 from standins.metastore import StoreCopy
 from tests.adapter.edgecase import build_request
 from tests.adapter.edgecase import call
 from tests.adapter.edgecase import EdgeCase
-from tests.adapter.examples import desired_state
 
 # A confirmed change is in force everywhere after this time.
 IN_FORCE_S = 3.0
 
 
-def _state_with_route(version: int) -> bytes:
-    """Return a desired state with the route ``/vN/`` for its version."""
-    body = desired_state(version)
-    rules = body["listeners"][0]["rules"]
-    rule = copy.deepcopy(rules[1])
-    rule["match"]["prefix"] = f"/v{version}/"
-    return json.dumps(
-        {
-            **body,
-            "listeners": [{**body["listeners"][0], "rules": [*rules, rule]}],
-        }
-    ).encode()
-
-
 class EdgeRestoreTest(EdgeCase):
     async def _write(self, version: int) -> None:
-        await self.store.put("op/config", _state_with_route(version))
+        await self._put_route(version, f"/v{version}/")
 
     async def _is_in_force(self, version: int) -> bool:
         raw = build_request(f"/v{version}/a")
