Read records of other writers with the bounds of what uses them

Clients got 500 once another writer had left an odd record: a port that no connection can have, numbers that no message to other instances can hold, and text without an encoding passed the reader and failed where they were used, in each send or relay. Addresses, numbers, durations, slots and keys now have bounds, a machine's record is checked like a server's, and a record that cannot be encoded is unreadable. The two listed tests failed before.

--- a/chiverun/platform/records.py
+++ b/chiverun/platform/records.py
@@ -9,7 +9,6 @@
 from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
 from chiverun.core.errors import DECODE_ERRORS
-from chiverun.core.ids import Address
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
 from chiverun.core.ids import ZoneName
@@ -23,28 +22,58 @@
 EVACUATION_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
 MACHINE_PREFIX = "chiverun/machines/"
+# Length of the reason that is logged, since it quotes the record.
+REASON_LENGTH_MAX = 300
+# Requests go to servers by their slots, so that one record with more than any
+# server has would draw them all.
+SLOTS_MAX = 100_000
 # Keys outside these prefixes are ignored.
 PREFIXES = ("op/", SERVER_PREFIX, MACHINE_PREFIX)
 
 
 def decode_record(key: str, data: bytes) -> Record | None:
-    """Decode an item; return None for keys that are not used."""
+    """Decode an item; return None for keys that are not used.
+
+    What cannot be passed on to other instances is unreadable too.
+    """
     try:
-        if key == STATE_KEY:
-            return decode_state(json.loads(data))
-        if key.startswith(EVACUATION_PREFIX):
-            zone = key.removeprefix(EVACUATION_PREFIX)
-            return Evacuation(zone=ZoneName(zone))
-        if key.startswith(SERVER_PREFIX):
-            name = key.removeprefix(SERVER_PREFIX)
-            return _decode_server(ServerName(name), json.loads(data))
-        if key.startswith(MACHINE_PREFIX):
-            return msgspec.json.decode(data, type=Machine)
-    except DECODE_ERRORS as exc:
-        return Unreadable(reason=str(exc))
+        record = _decode_record(key, data)
+        msgspec.msgpack.encode(record)
+    except (*DECODE_ERRORS, OverflowError) as exc:
+        return Unreadable(reason=str(exc)[:REASON_LENGTH_MAX])
+    return record
+
+
+def _decode_record(key: str, data: bytes) -> Record | None:
+    if key == STATE_KEY:
+        return decode_state(json.loads(data))
+    if key.startswith(EVACUATION_PREFIX):
+        zone = key.removeprefix(EVACUATION_PREFIX)
+        return Evacuation(zone=ZoneName(zone))
+    if key.startswith(SERVER_PREFIX):
+        name = key.removeprefix(SERVER_PREFIX)
+        return _decode_server(ServerName(name), json.loads(data))
+    if key.startswith(MACHINE_PREFIX):
+        return _decode_machine(key.removeprefix(MACHINE_PREFIX), data)
     return None
 
 
+def _decode_machine(name: str, data: bytes) -> Machine:
+    machine = msgspec.json.decode(data, type=Machine)
+    if machine.name != name:
+        raise values.InvalidValueError(
+            f"name: {machine.name!r} is not that of the key, {name!r}"
+        )
+    values.parse_address(machine.peer, "peer")
+    values.parse_address(machine.entry, "entry")
+    if not 0 < machine.capacity <= values.NUMBER_MAX:
+        raise values.InvalidValueError(
+            f"capacity: {machine.capacity!r} is not above 0 and up to "
+            f"{values.NUMBER_MAX:g}"
+        )
+    return machine
+
+
 def encode_machine(machine: Machine) -> tuple[str, bytes]:
     """Return the key and value of a machine's registration."""
     return f"{MACHINE_PREFIX}{machine.name}", msgspec.json.encode(machine)
@@ -56,18 +85,12 @@
         raise values.InvalidValueError(
             f"state: {state!r} is not valid; expected ready or draining"
         )
-    address = values.field(body, "address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise values.InvalidValueError(
-            f"address: {address!r} is not valid; expected ip:port"
-        )
     return Server(
         name=name,
         service=ServiceName(values.field(body, "service", str)),
-        address=Address(address),
+        address=values.address(body, "address"),
         zone=ZoneName(values.field(body, "zone", str)),
-        slots=values.integer(body, "slots", minimum=1),
+        slots=values.integer(body, "slots", minimum=1, maximum=SLOTS_MAX),
         state=ServerState(state),
         # Remaining cold time when the upstream wrote the entry.
         cold_left_s=values.duration_s(body, "coldLeft"),
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -249,9 +249,9 @@
     readable = []
     for row in rows:
         try:
-            values.field(row, "key", str)
+            values.field(row, "key", str).encode()
             values.integer(row, "revision", maximum=STORE_REVISION_MAX)
-        except values.InvalidValueError as exc:
+        except (values.InvalidValueError, UnicodeEncodeError) as exc:
             _LOG.warning(
                 "skipping malformed store row", extra={"reason": str(exc)}
             )
--- a/chiverun/platform/values.py
+++ b/chiverun/platform/values.py
@@ -1,12 +1,21 @@
 """Validation of single fields of the platform's JSON bodies."""
 
+import ipaddress
 import re
 from typing import Any
 
+from chiverun.core.ids import Address
+
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _SECONDS = {"ms": 0.001, "s": 1.0}
 # Largest integer that messages to other instances can hold.
 INTEGER_MAX = 2**63 - 1
+# Far above any number or duration that a platform states, so that sums and
+# waiting times stay finite.
+NUMBER_MAX = 1e12
+DURATION_MAX_S = 1e6
+_PORT_MAX = 65535
+_PORT_DIGITS = len(str(_PORT_MAX))
 
 
 class InvalidValueError(ValueError):
@@ -18,7 +27,7 @@
 
     Raises
     ------
-    Malformed
+    InvalidValueError
     """
     match = _DURATION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
@@ -26,7 +35,12 @@
             f"{value!r} is not a duration; expected a value such as 1500ms "
             "or 2.5s"
         )
-    return float(match[1]) * _SECONDS[match[2]]
+    seconds = float(match[1]) * _SECONDS[match[2]]
+    if seconds > DURATION_MAX_S:
+        raise InvalidValueError(
+            f"{value[:40]!r} is longer than {DURATION_MAX_S:g} s"
+        )
+    return seconds
 
 
 def field(body: Any, name: str, expected_type: type | tuple[type, ...]) -> Any:
@@ -34,7 +48,7 @@
 
     Raises
     ------
-    Malformed
+    InvalidValueError
     """
     if not isinstance(body, dict):
         raise InvalidValueError(
@@ -48,15 +62,17 @@
 
 
 def number(body: Any, name: str, *, minimum: float = 0.0) -> float:
-    """Return a finite number field that is at least `minimum`.
+    """Return a number field that is from `minimum` to `NUMBER_MAX`.
 
     Raises
     ------
-    Malformed
+    InvalidValueError
     """
     value = field(body, name, (int, float))
-    if not minimum <= value < float("inf"):
-        raise InvalidValueError(f"{name}: {value!r} is below {minimum:g}")
+    if not minimum <= value <= NUMBER_MAX:
+        raise InvalidValueError(
+            f"{name}: not from {minimum:g} to {NUMBER_MAX:g}"
+        )
     return float(value)
 
 
@@ -67,13 +83,11 @@
 
     Raises
     ------
-    Malformed
+    InvalidValueError
     """
     value = field(body, name, int)
     if not minimum <= value <= maximum:
-        raise InvalidValueError(
-            f"{name}: {value!r} is not from {minimum} to {maximum}"
-        )
+        raise InvalidValueError(f"{name}: not from {minimum} to {maximum}")
     return value
 
 
@@ -82,9 +96,45 @@
 
     Raises
     ------
-    Malformed
+    InvalidValueError
     """
     try:
         return parse_duration_s(field(body, name, str))
     except InvalidValueError as exc:
         raise InvalidValueError(f"{name}: {exc}") from exc
+
+
+def address(body: Any, name: str) -> Address:
+    """Return a field with an IP address and a port.
+
+    Raises
+    ------
+    InvalidValueError
+    """
+    return parse_address(field(body, name, str), name)
+
+
+def parse_address(text: str, name: str) -> Address:
+    """Return an address such as ``10.1.0.5:8080`` after checking it.
+
+    Raises
+    ------
+    InvalidValueError
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        is_valid = (
+            port.isascii()
+            and port.isdigit()
+            and len(port) <= _PORT_DIGITS
+            and 0 < int(port) <= _PORT_MAX
+        )
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise InvalidValueError(
+            f"{name}: {text[:80]!r} is not valid; expected ip:port with a "
+            f"port from 1 to {_PORT_MAX}"
+        )
+    return Address(text)
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -28,6 +28,8 @@
 from tests.adapter.examples import desired_state
 from tests.adapter.examples import server_entry
 from tests.adapter.examples import settings_body
+from tests.adapter.oddrecords import ODD_MACHINES
+from tests.adapter.oddrecords import ODD_SERVERS
 from tests.records import make_server
 from tests.runtime.test_follower import FakePeers
 from tests.runtime.test_follower import FakeStore
@@ -83,6 +85,24 @@
         check()
         decode_record(key, malformed.DEEP_JSON)
 
+    @params(*ODD_SERVERS, *ODD_MACHINES)
+    def test_odd_record_is_unreadable(self, name):
+        """Guards against a value that fails only where it is used."""
+        if name in ODD_SERVERS:
+            record = decode_record(f"servers/odd-{name}", ODD_SERVERS[name])
+            self.assertIsInstance(record, Unreadable)
+        if name in ODD_MACHINES:
+            key = f"chiverun/machines/odd-{name}"
+            record = decode_record(key, ODD_MACHINES[name])
+            self.assertIsInstance(record, Unreadable)
+
+    def test_number_out_of_range_in_a_desired_state(self):
+        """Guards against a number that can't be a float."""
+        body = desired_state()
+        body["clusters"][0]["coldPerS"] = 10**400
+        record = decode_record("op/config", malformed.to_json(body))
+        self.assertEqual(1, len(record.faults))
+
     @_EXAMPLES
     @given(malformed.variants(desired_state()))
     def test_desired_state(self, body):
