Run two tests of malformed messages that never ran

nose2 calls a parameterised coroutine without awaiting it, so that test_fields and test_cut_and_changed_bytes passed without a check. They run all their cases as subtests now, and pass.

--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -175,9 +175,13 @@
         check()
         self._receive(malformed.DEEP_MSGPACK)
 
-    @params(*_MESSAGES)
-    async def test_fields(self, message):
+    async def test_fields(self):
         """Guards against one field that ends the follower."""
+        for message in _MESSAGES:
+            with self.subTest(type(message).__name__):
+                self._check_fields(message)
+
+    def _check_fields(self, message: edgemessages.EdgeMessage) -> None:
         body = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
 
         @_EXAMPLES
@@ -189,10 +193,13 @@
 
         check()
 
-    @params(*_MESSAGES)
-    async def test_cut_and_changed_bytes(self, message):
+    async def test_cut_and_changed_bytes(self):
         """Guards against a damaged message."""
+        for message in _MESSAGES:
+            with self.subTest(type(message).__name__):
+                self._check_damaged(message)
 
+    def _check_damaged(self, message: edgemessages.EdgeMessage) -> None:
         @_EXAMPLES
         @given(malformed.cut_or_flipped(edgemessages.encode(message)))
         def check(payload: bytes) -> None:
