Do not fail a request for an address that no connection can have

An instance of another build may relay a server's record with a port out of range; a send to it ended with an error of the program instead of the proof that nothing was sent. test_address_that_cannot_be_connected_to failed before.

--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -226,7 +226,8 @@
                 body_bytes_max=RESPONSE_BYTES_MAX,
                 memory=self._memory,
             )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+            # Also for an address that no connection can have.
             row.connections -= 1
             return NotSent(detail=f"{CONNECT_FAILED}: {exc!r}")
         except BaseException:
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -228,6 +228,14 @@
         in_time = await self._send(row, 1)
         self.assertIsInstance(in_time.end, Answered)
 
+    async def test_address_that_cannot_be_connected_to(self) -> None:
+        """Guards against an unexpected error for what another one relays."""
+        for address in ("127.0.0.1:70000", "127.0.0.1\x00:80", "x:y", ""):
+            row = make_row(make_server(address=address))
+            result = await self._send(row, 1)
+            self.assertIsInstance(result.end, NotSent, address)
+            self.assertEqual(0, row.connections)
+
     async def test_old_choice_is_not_used(self) -> None:
         """Guards against acting on a choice from before a pause.
 
