Send nothing new to a server that says that it is leaving

Servers say in each response that they are leaving, often before their record does, and in an outage of the store instead of it; machines went on sending. A machine now uses such a server no more until another process starts under its name, also for retries, hedges and sends that wait for a connection, and closes its idle connections.

--- a/chiverun/platform/headercodec.py
+++ b/chiverun/platform/headercodec.py
@@ -23,6 +23,7 @@
 _COLD_MS = "x-chiverun-cold-ms"
 # Requests a second, from all machines together.
 _LIMIT = "server-limit"
+_LEAVING = "server-leaving"
 _DEADLINE_MS_MAX = 3_600_000
 
 
@@ -73,6 +74,7 @@
             cold_s=_parse_ms(values.get(_COLD_MS)),
             limit_per_s=limit_per_s,
             limit_fault=values.get(_LIMIT) if limit_per_s is None else None,
+            is_leaving=values.get(_LEAVING, "").strip() == "1",
         )
 
 
--- a/chiverun/runtime/headercodec.py
+++ b/chiverun/runtime/headercodec.py
@@ -41,7 +41,7 @@
     that the address now belongs to another server. `limit_per_s` is the
     number of requests a second that the server takes from all machines
     together, None if it names no limit; `limit_fault` is a limit that cannot
-    be read.
+    be read. `is_leaving` is whether the server says that it is leaving.
     """
 
     request_id: str | None
@@ -53,6 +53,7 @@
     cold_s: float | None
     limit_per_s: float | None = None
     limit_fault: str | None = None
+    is_leaving: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -132,7 +132,8 @@
             rows = [
                 row
                 for row in self._ranked_rows(placement, region)
-                if row.server.name not in tried
+                if row.is_usable
+                and row.server.name not in tried
                 and self._has_free_connection(row, spec)
             ]
             chosen = self._select(rows, placement, spec, now)
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -197,6 +197,8 @@
                 return SendResult(end=NotSent(detail="deadline passed"))
             if now - chosen_at > _choice_valid_s(row, now):
                 return SendResult(end=NotSent(detail="choice is too old"))
+            if not row.is_usable:
+                return SendResult(end=NotSent(detail="server is not in use"))
             is_fresh = connection.exchanges == 0
             end = await connection.exchange(
                 self._outgoing_request(row, request, metadata, remaining_s),
@@ -316,6 +318,7 @@
             is_own = not isinstance(result.end, Mismatched)
             if is_own and not response.is_other_server:
                 self._record_limit(row, response, metadata, started_at)
+                self._record_leaving(row, response, metadata)
         if response is not None and response.is_other_server:
             row.misdirected_until = now + MISDIRECTED_PAUSE_S
             row.close_idle()
@@ -325,6 +328,26 @@
         else:
             record(row.health, result.end, now - started_at, typical_s, now)
 
+    def _record_leaving(
+        self,
+        row: ServerRow,
+        response: ResponseMetadata,
+        metadata: RequestMetadata,
+    ) -> None:
+        """Use a server no more that leaves; only a new start ends this."""
+        if not response.is_leaving or row.is_leaving:
+            return
+        row.leaving_since = self._loop.time()
+        row.close_idle()
+        _LOG.info(
+            "server is leaving",
+            extra={
+                "id": metadata.request_id,
+                "server": row.server.name,
+                "record": row.server.state.value,
+            },
+        )
+
     def _record_limit(
         self,
         row: ServerRow,
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -31,6 +31,8 @@
 # A server is skipped for this time after another one responded at its
 # address.
 MISDIRECTED_PAUSE_S = 3.0
+# Longer than a server takes to leave, and than its record stays away.
+LEAVING_MEMORY_S = 120.0
 # Idle timeout of a server that sends no Keep-Alive header.
 KEEP_ALIVE_DEFAULT_S = 4.0
 # Window of the count of own sends that is logged beside a server's limit.
@@ -54,6 +56,8 @@
     cold_until: float = float("-inf")
     misdirected_until: float = float("-inf")
     is_evacuated: bool = False
+    # When the server said that it is leaving, whatever its record says.
+    leaving_since: float | None = None
     # Start times of the sends in progress, by send number.
     pending_sends: dict[int, float] = dataclasses.field(default_factory=dict)
     answered_at: float = float("-inf")
@@ -65,8 +69,14 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether the server is ready and its zone is not evacuated."""
-        return self.server.state is ServerState.READY and not self.is_evacuated
+        """Whether the server may get new requests."""
+        is_ready = self.server.state is ServerState.READY
+        return is_ready and not self.is_leaving and not self.is_evacuated
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server has said that it is leaving."""
+        return self.leaving_since is not None
 
     def pop_idle(
         self, now: float, idle_max_s: float
@@ -85,7 +95,7 @@
 
     def release(self, connection: ClientConnection, now: float) -> None:
         """Return a connection to the pool, or discard it."""
-        if connection.reusable:
+        if connection.reusable and not self.is_leaving:
             connection.idle_since = now
             self.idle.append(connection)
         else:
@@ -188,9 +198,7 @@
         self._unlisted = {
             name: row
             for name, row in self._unlisted.items()
-            if row.limit.in_force(now) is not None
-            or now < row.cold_until
-            or row.cold.recent_sends(now)
+            if _still_counts(row, now)
         }
 
     def close(self) -> None:
@@ -199,6 +207,17 @@
             row.close_idle()
 
 
+def _still_counts(row: ServerRow, now: float) -> bool:
+    """Return whether what is known of a server must outlast its record."""
+    since = row.leaving_since
+    return (
+        row.limit.in_force(now) is not None
+        or now < row.cold_until
+        or row.cold.recent_sends(now) > 0
+        or (since is not None and now - since < LEAVING_MEMORY_S)
+    )
+
+
 def _carry_over(old: ServerRow, new: ServerRow) -> None:
     """Keep what still holds when a server's row is made again.
 
@@ -210,6 +229,7 @@
         new.limit = old.limit
         new.quota = old.quota
         new.cold_until = old.cold_until
+        new.leaving_since = old.leaving_since
 
 
 def _is_same_process(old: Server, new: Server) -> bool:
--- a/tests/runtime/test_servertable.py
+++ b/tests/runtime/test_servertable.py
@@ -66,3 +66,20 @@
         row = self.table.rows["s1"]
         self.assertEqual(per_s, row.limit.in_force(now))
         self.assertEqual(server, row.server)
+
+    @params((7, False), (8, True))
+    def test_leaving_server_is_used_again_only_after_a_start(
+        self, started_ms, is_usable
+    ) -> None:
+        """Guards against a record that hides that a server is leaving.
+
+        It has lapsed and returned, and says that the server is ready.
+        """
+        self._sync(_SERVER, 10.0)
+        self.table.rows["s1"].leaving_since = 10.0
+        self._sync(_SERVER, 10.2)
+        self.assertFalse(self.table.rows["s1"].is_usable)
+        self._sync(None, 10.5)
+        server = msgspec.structs.replace(_SERVER, started_ms=started_ms)
+        self._sync(server, 12.0)
+        self.assertEqual(is_usable, self.table.rows["s1"].is_usable)
