Keep the pause that a server asks for when it rejects a request

A server that rejects with 503 may name in Retry-After for how long it wants nothing from this machine; machines went on sending. It gets nothing until then now: no first send, retry, hedge, health check or send that still waits for a connection. When all servers of a service ask for it, callers are rejected at once with the soonest end as their own Retry-After.

--- a/chiverun/platform/headercodec.py
+++ b/chiverun/platform/headercodec.py
@@ -24,6 +24,10 @@
 # Requests a second, from all machines together.
 _LIMIT = "server-limit"
 _LEAVING = "server-leaving"
+# Of a rejection: seconds, from the machine that gets it.
+_PAUSE = "retry-after"
+# A longer pause than any server stays.
+_PAUSE_MAX_S = 86_400.0
 _DEADLINE_MS_MAX = 3_600_000
 
 
@@ -61,7 +65,7 @@
     ) -> ResponseMetadata:
         """Return the metadata in the headers of a server's response."""
         values = {name.lower(): value for name, value in headers}
-        limit_per_s = _parse_rate(values.get(_LIMIT))
+        limit_per_s = _parse_decimal(values.get(_LIMIT))
         return ResponseMetadata(
             request_id=values.get(_REQUEST_ID),
             is_stamped=_RESPONSE_STAMP in values,
@@ -75,6 +79,9 @@
             limit_per_s=limit_per_s,
             limit_fault=values.get(_LIMIT) if limit_per_s is None else None,
             is_leaving=values.get(_LEAVING, "").strip() == "1",
+            pause_s=_parse_pause(values.get(_PAUSE))
+            if status == 503
+            else None,
         )
 
 
@@ -88,13 +95,19 @@
     return int(text) / 1000.0 if text and text.strip().isdigit() else None
 
 
-def _parse_rate(text: str | None) -> float | None:
-    """Parse a decimal number of requests a second."""
+def _parse_decimal(text: str | None) -> float | None:
+    """Parse a finite decimal number from 0 on."""
     try:
-        per_s = float(text or "")
+        number = float(text or "")
     except ValueError:
         return None
-    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
+def _parse_pause(text: str | None) -> float | None:
+    """Parse seconds; a date or another value asks for no pause."""
+    pause_s = _parse_decimal(text)
+    return min(pause_s, _PAUSE_MAX_S) if pause_s else None
 
 
 def _parse_load(text: str | None) -> ServerLoad | None:
--- a/chiverun/runtime/coldchecks.py
+++ b/chiverun/runtime/coldchecks.py
@@ -63,7 +63,7 @@
             row
             for row in self._table.rows.values()
             if row.is_usable
-            and now >= row.cold_until
+            and now >= max(row.cold_until, row.paused_until)
             and self._selector.exceeds_cold_part(
                 row, routes.service(row.server.service), now
             )
--- a/chiverun/runtime/headercodec.py
+++ b/chiverun/runtime/headercodec.py
@@ -41,7 +41,8 @@
     that the address now belongs to another server. `limit_per_s` is the
     number of requests a second that the server takes from all machines
     together, None if it names no limit; `limit_fault` is a limit that cannot
-    be read. `is_leaving` is whether the server says that it is leaving.
+    be read. `is_leaving` is whether the server says that it is leaving;
+    `pause_s` is for how long it wants no requests from this machine.
     """
 
     request_id: str | None
@@ -54,6 +55,7 @@
     limit_per_s: float | None = None
     limit_fault: str | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -75,7 +75,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LimitReached:
-    """This machine has used its share of each server's limit.
+    """This machine may send nothing to any server for a while.
+
+    It has used its share of their limits, or they have asked for a pause.
 
     `wait_s` is the time until the first of them may be sent a request.
     """
@@ -242,12 +244,12 @@
         now: float,
     ) -> ServerRow | Overloaded | LimitReached | None:
         stall_s = max(STALL_MIN_S, STALL_FACTOR * placement.typical_s)
-        waits = [self._quotas.wait_s(row, now) for row in rows]
+        waits = [self._limit_wait_s(row, now) for row in rows]
         if waits and min(waits) > 0:
             return LimitReached(wait_s=min(waits))
         # The key's next servers take the place of those at their limit.
         rows = [
-            row for row, wait_s in zip(rows, waits, strict=True) if not wait_s
+            row for row, wait_s in zip(rows, waits, strict=True) if wait_s <= 0
         ]
         eligible = [
             row
@@ -278,6 +280,10 @@
         ordered = [*open_rows, *_by_load(idle, now), *_by_load(others, now)]
         return self._first_permitted(ordered, spec, now)
 
+    def _limit_wait_s(self, row: ServerRow, now: float) -> float:
+        """Return how long the server itself wants nothing more."""
+        return max(self._quotas.wait_s(row, now), row.paused_until - now)
+
     def _first_permitted(
         self, rows: list[ServerRow], spec: ServiceSpec | None, now: float
     ) -> ServerRow | None:
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -197,7 +197,7 @@
                 return SendResult(end=NotSent(detail="deadline passed"))
             if now - chosen_at > _choice_valid_s(row, now):
                 return SendResult(end=NotSent(detail="choice is too old"))
-            if not row.is_usable:
+            if not row.is_usable or now < row.paused_until:
                 return SendResult(end=NotSent(detail="server is not in use"))
             is_fresh = connection.exchanges == 0
             end = await connection.exchange(
@@ -319,6 +319,7 @@
             if is_own and not response.is_other_server:
                 self._record_limit(row, response, metadata, started_at)
                 self._record_leaving(row, response, metadata)
+                self._record_pause(row, response, metadata)
         if response is not None and response.is_other_server:
             row.misdirected_until = now + MISDIRECTED_PAUSE_S
             row.close_idle()
@@ -348,6 +349,26 @@
             },
         )
 
+    def _record_pause(
+        self,
+        row: ServerRow,
+        response: ResponseMetadata,
+        metadata: RequestMetadata,
+    ) -> None:
+        """Send a server nothing as long as it asks for, not less."""
+        if response.pause_s is None:
+            return
+        until = self._loop.time() + response.pause_s
+        row.paused_until = max(row.paused_until, until)
+        _LOG.info(
+            "server asks for a pause",
+            extra={
+                "id": metadata.request_id,
+                "server": row.server.name,
+                "pause_ms": round(1000 * response.pause_s),
+            },
+        )
+
     def _record_limit(
         self,
         row: ServerRow,
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -55,6 +55,8 @@
     )
     cold_until: float = float("-inf")
     misdirected_until: float = float("-inf")
+    # The server wants no requests of this machine before.
+    paused_until: float = float("-inf")
     is_evacuated: bool = False
     # When the server said that it is leaving, whatever its record says.
     leaving_since: float | None = None
@@ -212,7 +214,7 @@
     since = row.leaving_since
     return (
         row.limit.in_force(now) is not None
-        or now < row.cold_until
+        or now < max(row.cold_until, row.paused_until)
         or row.cold.recent_sends(now) > 0
         or (since is not None and now - since < LEAVING_MEMORY_S)
     )
@@ -230,6 +232,7 @@
         new.quota = old.quota
         new.cold_until = old.cold_until
         new.leaving_since = old.leaving_since
+        new.paused_until = old.paused_until
 
 
 def _is_same_process(old: Server, new: Server) -> bool:
