Send a request to no further server once two have ended under it

Cause: a retry carries the damage on, and no machine knows what the others have seen. A send whose connection breaks is now followed by a check whether the server takes connections; if not, the end is recorded for what the request asks for (method, host, path, query, body) and told to the other machines at once.

--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -12,6 +12,7 @@
 from chiverun.core.ids import ServerName
 from chiverun.core.replica import VersionedRecord
 from chiverun.core.revisions import Revision
+from chiverun.core.suspects import EndedServer
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="b"):
@@ -93,7 +94,26 @@
     reports: list[LimitReport]
 
 
-EdgeMessage = Heartbeat | Update | Pull | Snapshot | LimitReports
+# A report names no more ends, and no longer fingerprint.
+REPORT_ENDS_MAX = 8
+FINGERPRINT_BYTES_MAX = 64
+
+
+class SuspectReport(msgspec.Struct, frozen=True, kw_only=True, tag="x"):
+    """The servers that ended while they ran the same request."""
+
+    sender: InstanceId
+    fingerprint: Annotated[
+        bytes, msgspec.Meta(max_length=FINGERPRINT_BYTES_MAX)
+    ]
+    ends: Annotated[
+        list[EndedServer], msgspec.Meta(max_length=REPORT_ENDS_MAX)
+    ]
+
+
+EdgeMessage = (
+    Heartbeat | Update | Pull | Snapshot | LimitReports | SuspectReport
+)
 
 # Compression gains nothing for smaller messages.
 COMPRESS_BYTES_MIN = 512
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -20,6 +20,7 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import ZoneName
+from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import Handler
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import listen
@@ -39,6 +40,7 @@
 from chiverun.runtime.servertable import ServerTable
 from chiverun.runtime.steering import Steering
 from chiverun.runtime.steering import StopProgress
+from chiverun.runtime.suspectexchange import SuspectExchange
 
 _LOG = logbook.Logger("edge")
 
@@ -91,6 +93,7 @@
             seeds=cfg.seeds,
             on_change=self._apply_catalog,
             on_limits=lambda message: self._limits.receive(message),
+            on_suspect=lambda message: self._suspects.receive(message),
         )
         self.metrics = EdgeMetrics()
         self._servers = ServerTable(machine=cfg.name)
@@ -99,6 +102,10 @@
             table=self.follower.table,
             peers=self._peers,
         )
+        suspects = SuspectTable()
+        self._suspects = SuspectExchange(
+            suspects=suspects, table=self.follower.table, peers=self._peers
+        )
         selector = Selector(
             table=self._servers,
             region=cfg.region,
@@ -120,6 +127,8 @@
             catalog_age_s=self.follower.age_s,
             metrics=self.metrics,
             stop_progress=self._stop_progress,
+            suspects=suspects,
+            on_end=self._suspects.record_end,
         )
         self._cold_checks = ColdChecks(
             table=self._servers,
--- a/chiverun/runtime/edgemetrics.py
+++ b/chiverun/runtime/edgemetrics.py
@@ -52,6 +52,10 @@
         self.limit_refused = meter.create_counter(
             "chiverun.requests.limit_refused"
         )
+        # Requests not sent since servers ended under the same one.
+        self.suspects_refused = meter.create_counter(
+            "chiverun.requests.suspects_refused"
+        )
         self.unexpected_errors = meter.create_counter(
             "chiverun.unexpected_errors"
         )
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -21,6 +21,7 @@
 from chiverun.core.edgemessages import LimitReports
 from chiverun.core.edgemessages import Pull
 from chiverun.core.edgemessages import Snapshot
+from chiverun.core.edgemessages import SuspectReport
 from chiverun.core.edgemessages import Update
 from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.ids import Address
@@ -70,6 +71,7 @@
         seeds: tuple[Address, ...],
         on_change: Callable[[], None],
         on_limits: Callable[[LimitReports], None],
+        on_suspect: Callable[[SuspectReport], None],
     ) -> None:
         self.replica = Replica()
         self.table = PeerTable(me=me)
@@ -83,6 +85,7 @@
         self._seeds = tuple(seed for seed in seeds if seed != me.peer)
         self._on_change = on_change
         self._on_limits = on_limits
+        self._on_suspect = on_suspect
         self._rng = random.Random(boot_id)
         self._loop = asyncio.get_running_loop()
         self._reads_store = False
@@ -344,6 +347,8 @@
                 self._handle_pull(message)
             case LimitReports():
                 self._on_limits(message)
+            case SuspectReport():
+                self._on_suspect(message)
             case Snapshot():
                 if message.as_of > self.replica.as_of:
                     self._apply_listing(message.items, message.as_of, "peer")
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -15,6 +15,7 @@
 from chiverun.core.exchange import Incomplete
 from chiverun.core.exchange import Mismatched
 from chiverun.core.exchange import NotSent
+from chiverun.core.exchange import Reset
 from chiverun.core.exchange import Shed
 from chiverun.core.exchange import ShedReason
 from chiverun.core.health import eject
@@ -39,6 +40,7 @@
 # The rate of a cold server is counted when it is chosen, and a send that comes
 # later must still fall into the window that it was counted in.
 COLD_CHOICE_VALID_S = COLD_WINDOW_S - 1.0
+END_CHECK_TIMEOUT_S = 0.3
 CONNECT_FAILED = "connect"
 RESPONSE_BYTES_MAX = 32 * 1024 * 1024
 # A server may close a connection that has been idle for longer just as it is
@@ -67,6 +69,8 @@
 
     end: ExchangeEnd
     metadata: ResponseMetadata | None = None
+    # Whether the server ended while it ran the request.
+    server_ended: bool = False
 
     @property
     def is_not_run(self) -> bool:
@@ -117,6 +121,10 @@
             result = await self._exchange(
                 row, request, metadata, repeatable, deadline, chosen_at
             )
+            if isinstance(result.end, Reset):
+                result = dataclasses.replace(
+                    result, server_ended=await self._has_ended(row)
+                )
         except asyncio.CancelledError:
             _LOG.info(
                 "send cancelled",
@@ -135,6 +143,24 @@
         self._log(row, result, request, metadata, started_at, selection)
         return result
 
+    async def _has_ended(self, row: ServerRow) -> bool:
+        """Return whether a server takes no connections any more.
+
+        One connection that breaks proves no end.
+        """
+        try:
+            connection = await connect(
+                row.server.address,
+                timeout_s=END_CHECK_TIMEOUT_S,
+                body_bytes_max=0,
+            )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        connection.abort()
+        return False
+
     async def check_health(
         self, row: ServerRow, path: str, timeout_s: float
     ) -> SendResult:
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from collections.abc import Callable
 from collections.abc import Collection
 
@@ -19,6 +20,10 @@
 from chiverun.core.sendbudget import BudgetBounds
 from chiverun.core.sendbudget import SendBudget
 from chiverun.core.splits import SplitTable
+from chiverun.core.suspects import EndedServer
+from chiverun.core.suspects import Fingerprint
+from chiverun.core.suspects import fingerprint_of
+from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import OutgoingResponse
 from chiverun.runtime.edgemetrics import EdgeMetrics
@@ -84,6 +89,16 @@
     # Why no server may get it, and the shortest time until one may.
     refusal: Overloaded | LimitReached | None = None
 
+    @functools.cached_property
+    def fingerprint(self) -> Fingerprint:
+        """What the request asks for."""
+        return fingerprint_of(
+            method=self.incoming.method,
+            host=self.incoming.header("host") or "",
+            target=self.incoming.target,
+            body=self.incoming.body,
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StopProgress:
@@ -116,6 +131,8 @@
         catalog_age_s: Callable[[], float],
         metrics: EdgeMetrics,
         stop_progress: Callable[[], StopProgress | None],
+        suspects: SuspectTable,
+        on_end: Callable[[Fingerprint, EndedServer, str], None],
     ) -> None:
         self.routes: RouteTable | None = None
         self._header_codec = header_codec
@@ -126,6 +143,8 @@
         self._catalog_age_s = catalog_age_s
         self._metrics = metrics
         self._stop_progress = stop_progress
+        self._suspects = suspects
+        self._on_end = on_end
         self._splits = SplitTable()
         self._budgets: dict[ServiceName, SendBudget] = {}
         self._typical_latencies: dict[str, float] = {}
@@ -153,6 +172,8 @@
         if self._may_outlast(route):
             return self._reject(metadata, "stopping")
         request = self._new_request(incoming, metadata, route)
+        if self._is_suspect(request):
+            return self._refuse_suspect(request)
         try:
             return await self._serve(request)
         except asyncio.CancelledError:
@@ -210,6 +231,8 @@
             if now >= request.deadline:
                 return self._fail(request, "timeout")
             if not request.pending:
+                if self._is_suspect(request):
+                    return self._refuse_suspect(request)
                 if not self._retry(request):
                     return self._fail(request, "no further send")
             elif not done:
@@ -239,6 +262,8 @@
             return False
         if request.sends >= SENDS_MAX:
             return False
+        if self._is_suspect(request):
+            return False
         if self._may_outlast(request.route):
             return False
         return self._start_send(request)
@@ -303,6 +328,17 @@
     ) -> OutgoingResponse | None:
         """Return the response if the result completes the request."""
         self._metrics.sends.add(1, {"end": type(result.end).__name__})
+        if result.server_ended:
+            server = send.row.server
+            ended = EndedServer(
+                server=server.name, started_ms=server.started_ms
+            )
+            self._on_end(
+                request.fingerprint, ended, request.metadata.request_id
+            )
+        elif isinstance(result.end, Answered) and self._suspects:
+            now = self._loop.time()
+            self._suspects.record_answer(request.fingerprint, now)
         if result.is_not_run:
             request.runs -= 1
             return None
@@ -386,6 +422,33 @@
             status=503, headers=[("Retry-After", f"{retry_s:.3g}")]
         )
 
+    def _is_suspect(self, request: Request) -> bool:
+        """Return whether a request may be sent to no further server."""
+        now = self._loop.time()
+        return bool(self._suspects) and self._suspects.is_blocked(
+            request.fingerprint, now
+        )
+
+    def _refuse_suspect(self, request: Request) -> OutgoingResponse:
+        """Return the response to a request under which servers ended.
+
+        It may have run before, under another id too, and must not return.
+        """
+        ends = self._suspects.ends(request.fingerprint)
+        self._log(
+            request.metadata,
+            502,
+            "servers ended under request",
+            route=request.route.name,
+            request=request.fingerprint.hex(),
+            servers=[end.server for end in ends],
+            **self._timing(request),
+        )
+        self._metrics.suspects_refused.add(1)
+        self._metrics.record_request(502, 0.0)
+        code = str(int(ResultCode.REQUEST_ENDS_SERVERS))
+        return OutgoingResponse(status=502, headers=[(CODE_HEADER, code)])
+
     def _reject_unreadable(
         self, metadata: RequestMetadata, route: Route
     ) -> OutgoingResponse:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -9,6 +9,7 @@
 from chiverun.integrations.network import split_address
 
 HEALTH_PATH = "/health"
+DEADLY_RUN_S = 0.05
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -21,7 +22,8 @@
     is the rate that the server names in each response. `cold_ms` is the cold
     time that it names in answers to health checks. `leaving` is whether its
     responses say that it leaves; `retry_after` rejects requests as not run and
-    asks for a pause of these seconds.
+    asks for a pause of these seconds. A request for `deadly_target` ends the
+    server `DEADLY_RUN_S` after it has arrived.
     """
 
     answer: bytes | None = None
@@ -38,6 +40,7 @@
     cold_ms: int | None = None
     leaving: bool = False
     retry_after: str | None = None
+    deadly_target: str | None = None
 
 
 class Upstream:
@@ -57,6 +60,8 @@
         # Event loop times at which requests arrived.
         self.arrived_at: list[float] = []
         self.health_checks = 0
+        self.has_ended = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     def entry(self, **changes) -> bytes:
@@ -84,15 +89,24 @@
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """End as a crashed process does: all connections break."""
+        self.has_ended = True
+        self.stop()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while await self._exchange(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _exchange(
@@ -125,6 +139,10 @@
             return True
         self.runs[request_id] += 1
         self.targets.append(request_line.split(" ")[1])
+        if self.targets[-1] == self.faults.deadly_target:
+            await asyncio.sleep(DEADLY_RUN_S)
+            self.end()
+            return False
         if not await self._work(reader, request_id) or self.faults.reset:
             return False
         if self.faults.answer is not None:
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -155,6 +155,7 @@
             seeds=(),
             on_change=lambda: None,
             on_limits=lambda message: None,
+            on_suspect=lambda message: None,
         )
         handler = logbook.NullHandler()
         handler.push_application()
--- a/tests/runtime/fleet.py
+++ b/tests/runtime/fleet.py
@@ -179,6 +179,7 @@
                 seeds=(),
                 on_change=lambda: None,
                 on_limits=lambda message: exchange.receive(message),
+                on_suspect=lambda message: None,
             )
             table = _server_table(name)
             exchange = LimitExchange(
--- a/tests/runtime/test_follower.py
+++ b/tests/runtime/test_follower.py
@@ -91,6 +91,7 @@
             seeds=(),
             on_change=lambda: None,
             on_limits=lambda message: None,
+            on_suspect=lambda message: None,
         )
 
     async def _read_once(self, reply: Changes | Exception) -> None:
@@ -239,6 +240,7 @@
             seeds=(),
             on_change=lambda: None,
             on_limits=lambda message: None,
+            on_suspect=lambda message: None,
         )
         relay._store.script = [
             Changes(
--- a/tests/runtime/test_steering.py
+++ b/tests/runtime/test_steering.py
@@ -14,6 +14,7 @@
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import Shed
 from chiverun.core.exchange import ShedReason
+from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.platform.headercodec import PlatformHeaderCodec
 from chiverun.runtime.edgemetrics import EdgeMetrics
@@ -119,6 +120,8 @@
             catalog_age_s=lambda: 0.0,
             metrics=EdgeMetrics(),
             stop_progress=lambda: progress[-1] if progress else None,
+            suspects=SuspectTable(),
+            on_end=lambda fingerprint, server, request_id: None,
         )
         steering.routes = RouteTable(
             version=1,
