Do not suspect a request that was answered lately

Several servers that end at once, as in the loss of a zone, would have made each thing that clients often ask for look like the cause, and every machine would have refused it for a minute. What was answered within the last minute is not suspected now; what ends servers is never answered. A large body is told apart by its first 64 KiB and its length. test_request_that_was_answered_before_is_not_blocked failed before.

--- a/chiverun/core/suspects.py
+++ b/chiverun/core/suspects.py
@@ -1,9 +1,9 @@
 """Requests under which backend servers have ended.
 
 When a server ends, each request that ran there may be the cause. The cause is
-in each end that it meets, the others are in one of them by chance. A request
-that has met two ends without a response in between is sent to no further
-server for a while, whoever asks for it.
+in each end that it meets and is never answered; the others are in one of them
+by chance. A request that has met two ends and was not answered lately is sent
+to no further server for a while, whoever asks for it.
 """
 
 import collections
@@ -20,8 +20,13 @@
 
 # Ends that a request may meet before it is sent to no further server.
 ENDS_MAX = 2
-# An end counts for this time, and a response clears a request for as long.
+# An end counts for this time, and an answer clears a request for as long.
 MEMORY_S = 60.0
+# Answered requests that are remembered, the latest ones. Only those asked for
+# often can be running at several servers when these end.
+ANSWERED_MAX = 4096
+# A larger body is told apart by its first bytes and its length.
+BODY_BYTES_MAX = 64 * 1024
 # Only requests that were running when a server ended take up a place.
 REQUESTS_MAX = 4096
 _FINGERPRINT_BYTES = 16
@@ -40,7 +45,6 @@
 
     ends: set[EndedServer] = dataclasses.field(default_factory=set)
     ended_at: float = float("-inf")
-    cleared_until: float = float("-inf")
 
 
 class SuspectTable:
@@ -50,6 +54,10 @@
         self._rows: collections.OrderedDict[Fingerprint, Suspect] = (
             collections.OrderedDict()
         )
+        # When a request was last answered, the latest last.
+        self._answered_at: collections.OrderedDict[Fingerprint, float] = (
+            collections.OrderedDict()
+        )
 
     def record_end(
         self, fingerprint: Fingerprint, server: EndedServer, now: float
@@ -59,10 +67,11 @@
         Return whether this is news: a server ends once, also if several
         instances tell of it.
         """
-        row = self._row(fingerprint, now)
-        if now < row.cleared_until or server in row.ends:
+        answered_at = self._answered_at.get(fingerprint, float("-inf"))
+        if now - answered_at < MEMORY_S:
             return False
-        if len(row.ends) >= ENDS_MAX:
+        row = self._row(fingerprint, now)
+        if server in row.ends or len(row.ends) >= ENDS_MAX:
             return False
         row.ends.add(server)
         row.ended_at = now
@@ -70,10 +79,11 @@
 
     def record_answer(self, fingerprint: Fingerprint, now: float) -> None:
         """Clear a request that a server has answered."""
-        row = self._rows.get(fingerprint)
-        if row is not None:
-            row.ends.clear()
-            row.cleared_until = now + MEMORY_S
+        self._rows.pop(fingerprint, None)
+        self._answered_at[fingerprint] = now
+        self._answered_at.move_to_end(fingerprint)
+        if len(self._answered_at) > ANSWERED_MAX:
+            self._answered_at.popitem(last=False)
 
     def is_blocked(self, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether a request may be sent to no further server."""
@@ -93,8 +103,7 @@
     def _row(self, fingerprint: Fingerprint, now: float) -> Suspect:
         row = self._rows.pop(fingerprint, None)
         if row is None or now - row.ended_at > MEMORY_S:
-            cleared_until = row.cleared_until if row else float("-inf")
-            row = Suspect(cleared_until=cleared_until)
+            row = Suspect()
         self._rows[fingerprint] = row
         if len(self._rows) > REQUESTS_MAX:
             self._rows.popitem(last=False)
@@ -109,5 +118,6 @@
     for part in (method, host.lower(), target):
         digest.update(part.encode("utf-8", "surrogatepass"))
         digest.update(b"\0")
-    digest.update(body)
+    digest.update(len(body).to_bytes(8, "big"))
+    digest.update(body[:BODY_BYTES_MAX])
     return Fingerprint(digest.digest())
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -336,7 +336,7 @@
             self._on_end(
                 request.fingerprint, ended, request.metadata.request_id
             )
-        elif isinstance(result.end, Answered) and self._suspects:
+        elif isinstance(result.end, Answered):
             now = self._loop.time()
             self._suspects.record_answer(request.fingerprint, now)
         if result.is_not_run:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -89,6 +89,11 @@
         if self._server is not None:
             self._server.close()
 
+    @property
+    def open_connections(self) -> int:
+        """The number of open connections of callers."""
+        return len(self._writers)
+
     def end(self) -> None:
         """End as a crashed process does: all connections break."""
         self.has_ended = True
--- a/tests/adapter/test_edge_suspects.py
+++ b/tests/adapter/test_edge_suspects.py
@@ -59,24 +59,30 @@
     async def test_popular_request_outlives_ordinary_crashes(self) -> None:
         """Guards against a popular object that everyone refuses.
 
-        It is in flight each time a server ends, and answered in between.
+        It is in flight each time servers end, first two of them at once, and
+        was answered before.
         """
         for upstream in self.upstreams:
             upstream.faults.delay_s = 0.1
         await self._start_until_ready()
-        for number in range(4):
-            calls = [
-                asyncio.create_task(
-                    self._ask("/read/popular", f"p{number}-{i}")
-                )
-                for i in range(6)
-            ]
-            await asyncio.sleep(0.05)
-            busy = max(self.upstreams, key=lambda u: len(u._writers))
-            busy.end()
-            await asyncio.gather(*calls)
-            response = await self._ask("/read/popular", f"q{number}")
-            self.assertEqual(200, response.status)
+        await self._ask("/read/popular", "first")
+        for count in (2, 1, 1, 1):
+            await self._crash_under_popular_requests(count)
+
+    async def _crash_under_popular_requests(self, count: int) -> None:
+        """End the busiest servers while they run the same request."""
+        number = self._ended()
+        calls = [
+            asyncio.create_task(self._ask("/read/popular", f"p{number}-{i}"))
+            for i in range(6)
+        ]
+        await asyncio.sleep(0.05)
+        by_load = sorted(self.upstreams, key=lambda u: -u.open_connections)
+        for upstream in by_load[:count]:
+            upstream.end()
+        await asyncio.gather(*calls)
+        response = await self._ask("/read/popular", f"q{number}")
+        self.assertEqual(200, response.status)
 
     async def test_reset_of_a_server_that_lives_is_no_end(self) -> None:
         """Guards against requests refused for connections that break."""
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -5,6 +5,7 @@
 
 from nose2.tools import params
 
+from chiverun.core.suspects import ANSWERED_MAX
 from chiverun.core.suspects import EndedServer
 from chiverun.core.suspects import fingerprint_of
 from chiverun.core.suspects import MEMORY_S
@@ -43,6 +44,13 @@
         self.assertFalse(self.table.record_end(_REQUEST, _S2, 12.0))
         self.assertFalse(self.table.is_blocked(_REQUEST, 12.0))
 
+    def test_request_that_was_answered_before_is_not_blocked(self) -> None:
+        """Guards against the same when several servers end at once."""
+        self.table.record_answer(_REQUEST, 9.0)
+        for end in (_S1, _S2):
+            self.assertFalse(self.table.record_end(_REQUEST, end, 10.0))
+        self.assertFalse(self.table.is_blocked(_REQUEST, 10.0))
+
     def test_block_ends(self) -> None:
         """Guards against a request that is refused for ever."""
         self.table.record_end(_REQUEST, _S1, 10.0)
@@ -61,6 +69,12 @@
             )
             self.table.record_end(request, _S1, 10.0)
         self.assertEqual(REQUESTS_MAX, len(self.table._rows))
+        for number in range(2 * ANSWERED_MAX):
+            request = fingerprint_of(
+                method="GET", host="h", target=f"/{number}", body=b""
+            )
+            self.table.record_answer(request, 11.0)
+        self.assertEqual(ANSWERED_MAX, len(self.table._answered_at))
 
     @params(
         {"method": "POST"},
