Split the request path by moves: stopping, latencies, statements

What a stopping instance takes, the learnt times of routes and what servers say of themselves in responses have modules of their own; no logic changes.

--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -39,7 +39,7 @@
 from chiverun.runtime.sending import Sender
 from chiverun.runtime.servertable import ServerTable
 from chiverun.runtime.steering import Steering
-from chiverun.runtime.steering import StopProgress
+from chiverun.runtime.stopping import StopProgress
 from chiverun.runtime.suspectexchange import SuspectExchange
 
 _LOG = logbook.Logger("edge")
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -9,7 +9,6 @@
 
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.coldlimit import COLD_WINDOW_S
-from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Incomplete
@@ -28,6 +27,7 @@
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
+from chiverun.runtime.serverstatements import apply_statements
 from chiverun.runtime.servertable import MISDIRECTED_PAUSE_S
 from chiverun.runtime.servertable import ServerRow
 
@@ -343,9 +343,13 @@
                 row.cold_until = max(row.cold_until, now + response.cold_s)
             is_own = not isinstance(result.end, Mismatched)
             if is_own and not response.is_other_server:
-                self._record_limit(row, response, metadata, started_at)
-                self._record_leaving(row, response, metadata)
-                self._record_pause(row, response, metadata)
+                apply_statements(
+                    row,
+                    response,
+                    request_id=metadata.request_id,
+                    sent_at=started_at,
+                    now=now,
+                )
         if response is not None and response.is_other_server:
             row.misdirected_until = now + MISDIRECTED_PAUSE_S
             row.close_idle()
@@ -355,81 +359,6 @@
         else:
             record(row.health, result.end, now - started_at, typical_s, now)
 
-    def _record_leaving(
-        self,
-        row: ServerRow,
-        response: ResponseMetadata,
-        metadata: RequestMetadata,
-    ) -> None:
-        """Use a server no more that leaves; only a new start ends this."""
-        if not response.is_leaving or row.is_leaving:
-            return
-        row.leaving_since = self._loop.time()
-        row.close_idle()
-        _LOG.info(
-            "server is leaving",
-            extra={
-                "id": metadata.request_id,
-                "server": row.server.name,
-                "record": row.server.state.value,
-            },
-        )
-
-    def _record_pause(
-        self,
-        row: ServerRow,
-        response: ResponseMetadata,
-        metadata: RequestMetadata,
-    ) -> None:
-        """Send a server nothing as long as it asks for, not less."""
-        if response.pause_s is None:
-            return
-        until = self._loop.time() + response.pause_s
-        row.paused_until = max(row.paused_until, until)
-        _LOG.info(
-            "server asks for a pause",
-            extra={
-                "id": metadata.request_id,
-                "server": row.server.name,
-                "pause_ms": round(1000 * response.pause_s),
-            },
-        )
-
-    def _record_limit(
-        self,
-        row: ServerRow,
-        response: ResponseMetadata,
-        metadata: RequestMetadata,
-        started_at: float,
-    ) -> None:
-        extra = {"id": metadata.request_id, "server": row.server.name}
-        if response.limit_fault is not None:
-            # The limit in force stays; this is no sign of its end.
-            _LOG.warning(
-                "server limit cannot be read",
-                extra={
-                    **extra,
-                    "code": int(ResultCode.SERVER_LIMIT_INVALID),
-                    "value": response.limit_fault,
-                    "valid": "requests a second, a decimal number from 0 on",
-                },
-            )
-            return
-        before = row.limit.per_s
-        if not row.limit.apply(
-            response.limit_per_s, sent_at=started_at, now=self._loop.time()
-        ):
-            return
-        _LOG.info(
-            "server limit changed",
-            extra={
-                **extra,
-                "per_s": row.limit.per_s,
-                "before_per_s": before,
-                "recent_sends": row.recent_sends.count(self._loop.time()),
-            },
-        )
-
     def _log(
         self,
         row: ServerRow,
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -29,25 +29,26 @@
 from chiverun.runtime.edgemetrics import EdgeMetrics
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
+from chiverun.runtime.routelatencies import RouteLatencies
 from chiverun.runtime.selection import LimitReached
 from chiverun.runtime.selection import make_placement
 from chiverun.runtime.selection import Overloaded
 from chiverun.runtime.selection import Placement
 from chiverun.runtime.selection import queue_factor
-from chiverun.runtime.selection import RUN_OBJECTIVE_FRACTION
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import end_to_end
 from chiverun.runtime.sending import Sender
 from chiverun.runtime.sending import SendResult
 from chiverun.runtime.servertable import ServerRow
+from chiverun.runtime.stopping import may_outlast
+from chiverun.runtime.stopping import StopProgress
+from chiverun.runtime.stopping import TIMEOUT_SLACK_S
 
 _LOG = logbook.Logger("request")
 
 # Deadline of a request whose client sets none; the route's timeout still
 # applies.
 DEADLINE_DEFAULT_S = 30.0
-# Allows for a response that is in transit when the route's timeout expires.
-TIMEOUT_SLACK_S = 0.1
 # Retry-After for requests that did not run, unless the expected wait for a
 # slot is longer.
 RETRY_AFTER_S = 0.3
@@ -56,16 +57,8 @@
 # latency and at least this fraction of the route's latency objective.
 HEDGE_LATENCY_FACTOR = 3.0
 HEDGE_OBJECTIVE_FRACTION = 0.9
-# A stopping instance accepts a request if this many times the route's typical
-# latency fits into the remaining time. After STOP_LATE_S the whole route
-# timeout must fit, since clients have been directed elsewhere by then; that
-# of an unrepeatable request always, since nobody could tell whether it ran.
-STOP_LATENCY_FACTOR = 4.0
-STOP_LATE_S = 2.8
 # Sends per request, including those that did not run.
 SENDS_MAX = 4
-# Weight of a new sample in the moving average of a route's latency.
-LATENCY_SAMPLE_WEIGHT = 0.05
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -100,14 +93,6 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class StopProgress:
-    """Time since the stop request and serving time left."""
-
-    elapsed_s: float
-    remaining_s: float
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Send:
     """Send in progress; `queue_factor` is the expected queueing slowdown."""
@@ -147,8 +132,7 @@
         self._on_end = on_end
         self._splits = SplitTable()
         self._budgets: dict[ServiceName, SendBudget] = {}
-        self._typical_latencies: dict[str, float] = {}
-        self._run_times: dict[str, float] = {}
+        self._latencies = RouteLatencies()
         self._loop = asyncio.get_running_loop()
 
     async def handle(self, incoming: IncomingRequest) -> OutgoingResponse:
@@ -206,8 +190,8 @@
                 service,
                 metadata.affinity_key,
                 metadata.request_id,
-                self._typical_s(route),
-                self._run_s(route),
+                self._latencies.typical_s(route),
+                self._latencies.run_s(route),
             ),
             deadline=incoming.arrived_at + limit_s,
         )
@@ -243,7 +227,7 @@
         now = self._loop.time()
         remaining_s = max(0.0, request.deadline - now)
         hedge_at = request.incoming.arrived_at + max(
-            HEDGE_LATENCY_FACTOR * self._typical_s(request.route),
+            HEDGE_LATENCY_FACTOR * self._latencies.typical_s(request.route),
             HEDGE_OBJECTIVE_FRACTION * request.route.objective_s,
         )
         may_hedge = (
@@ -272,7 +256,7 @@
         """Return whether a send of a request may outlast this instance."""
         stopping = self._stop_progress()
         return stopping is not None and may_outlast(
-            stopping, route, self._typical_s(route)
+            stopping, route, self._latencies.typical_s(route)
         )
 
     def _start_send(self, request: Request) -> bool:
@@ -315,7 +299,7 @@
                 request.metadata,
                 repeatable=request.route.repeatable,
                 deadline=request.deadline,
-                typical_s=self._typical_s(request.route),
+                typical_s=self._latencies.typical_s(request.route),
                 chosen_at=now,
                 attempt=request.sends,
             )
@@ -469,26 +453,12 @@
             budget = self._budgets[service] = SendBudget(bounds=bounds)
         return budget
 
-    def _typical_s(self, route: Route) -> float:
-        return self._typical_latencies.get(route.prefix, route.objective_s / 2)
-
-    def _run_s(self, route: Route) -> float:
-        return self._run_times.get(
-            route.prefix, RUN_OBJECTIVE_FRACTION * route.objective_s
-        )
-
     def _record_latency(self, request: Request, send: Send) -> None:
         now = self._loop.time()
-        route = request.route
-        _update_average(
-            self._typical_latencies,
-            route.prefix,
-            now - request.incoming.arrived_at,
-            self._typical_s(route),
-        )
-        run_s = (now - send.started_at) / send.queue_factor
-        _update_average(
-            self._run_times, route.prefix, run_s, self._run_s(route)
+        self._latencies.record(
+            request.route,
+            response_s=now - request.incoming.arrived_at,
+            run_s=(now - send.started_at) / send.queue_factor,
         )
 
     def _timing(self, request: Request) -> dict:
@@ -510,16 +480,6 @@
         )
 
 
-def may_outlast(
-    stopping: StopProgress, route: Route, typical_s: float
-) -> bool:
-    """Return whether a request may outlast a stopping instance."""
-    needed_s = route.timeout_s + TIMEOUT_SLACK_S
-    if route.repeatable and stopping.elapsed_s < STOP_LATE_S:
-        needed_s = min(needed_s, STOP_LATENCY_FACTOR * typical_s)
-    return stopping.remaining_s < needed_s
-
-
 def _refusal_reason(refusal: Overloaded | LimitReached | None) -> str:
     match refusal:
         case Overloaded():
@@ -528,12 +488,3 @@
             return "server limits reached"
         case None:
             return "no server may get it"
-
-
-def _update_average(
-    averages: dict[str, float], key: str, sample_s: float, average_s: float
-) -> None:
-    """Update a moving average; a sample is capped at 4 times the average."""
-    averages[key] = average_s + LATENCY_SAMPLE_WEIGHT * (
-        min(sample_s, 4 * average_s) - average_s
-    )
--- a/tests/runtime/test_steering.py
+++ b/tests/runtime/test_steering.py
@@ -20,9 +20,9 @@
 from chiverun.runtime.edgemetrics import EdgeMetrics
 from chiverun.runtime.sending import SendResult
 from chiverun.runtime.servertable import ServerRow
-from chiverun.runtime.steering import may_outlast
 from chiverun.runtime.steering import Steering
-from chiverun.runtime.steering import StopProgress
+from chiverun.runtime.stopping import may_outlast
+from chiverun.runtime.stopping import StopProgress
 from tests.records import make_row
 from tests.records import make_server
 
