--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -48,8 +48,9 @@
 
 def response(status: int, headers: list, body: bytes) -> bytes:
     """Return the bytes of a response with a length."""
-    rows = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
+    rows = [f"HTTP/1.1 {status} x"]
     rows += [f"{name}: {value}" for name, value in headers]
+    rows.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(rows) + "\r\n\r\n").encode("latin-1") + body
 
 
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -9,17 +9,29 @@
 class Upstream:
     """An upstream of one service; `work` makes the body of an answer.
 
-    It runs up to `slots` requests at once, queues 12 more and sheds the rest.
+    It runs up to `slots` requests at once, queues `queue` more and sheds the
+    rest.
     A request whose connection closes is dropped.
     """
 
     def __init__(
-        self, *, name, service, zone, log, slots=4, work_s=0.1, body=b""
+        self,
+        *,
+        name,
+        service,
+        zone,
+        log,
+        slots=4,
+        queue=12,
+        work_s=0.1,
+        body=b"",
     ) -> None:
         self.name = name
         self.service = service
         self.zone = zone
         self.slots = slots
+        self.queue = queue
+        self.sheds = 0
         self.work_s = work_s
         self.body = body
         self.runs = {}
@@ -96,8 +108,9 @@
             rows.append(("X-Chiverun-Instance-Id", self.name))
             writer.write(http.response(421, rows, b""))
             return True
-        if self._running >= self.slots and self._waiting >= 12:
-            rows.append(("X-Chiverun-Not-Run", "1"))
+        if self._running >= self.slots and self._waiting >= self.queue:
+            self.sheds += 1
+            rows.insert(0, ("X-Chiverun-Not-Run", "1"))
             writer.write(http.response(503, rows, b""))
             return True
         self._waiting += 1
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -199,7 +199,15 @@
         self.machines = []
         self._tasks = []
 
-    async def start(self, *, services, routes, machines, memory_mb=300):
+    async def start(
+        self,
+        *,
+        services,
+        routes,
+        machines,
+        memory_mb=300,
+        upstream_type=Upstream,
+    ):
         """Start all; wait until the machines are ready.
 
         `services` maps a name to its upstreams' arguments, `routes` is the
@@ -208,7 +216,7 @@
         await self.store.start()
         for service, rows in services.items():
             for index, row in enumerate(rows):
-                upstream = Upstream(
+                upstream = upstream_type(
                     name=f"i-{service}-{index}",
                     service=service,
                     log=self.record,
