--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,144 +1,153 @@
-"""Many users come at once, each with an object and a long affinity key."""
+"""Some upstreams answer at times without end, in chunks of one byte."""
 
 import asyncio
 import os
 import pathlib
-import signal
+import random
 import sys
 
-from review.standins import http
 from review.standins.world import CouldNotRun
-from review.standins.world import HOST
 from review.standins.world import Record
 from review.standins.world import rule
 from review.standins.world import World
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-KEY_BYTES = 8_000
-OBJECTS = 25
-CLIENTS = 60
-REQUESTS_PER_S = 120
-PLAY_S = 40.0
-WORK_S = 0.2
-MEMORY_MB = 300
-TIMEOUT_MS = 4000
-DEADLINE_MS = 8000
-# The rule allows three.
-LOST_MOST = 3
+WORK_S = 0.1
+REQUESTS_PER_S = 40
+PLAY_S = 20.0
+# A dose of wrong bytes of the site file: half of the servers, 0.05 of their
+# answers, for 5 s.
+FAULTY_UPSTREAMS = 4
+FAULTY_ANSWERS = 0.05
+FAULTY_FROM_S = 3.0
+FAULTY_FOR_S = 5.0
+SEED = 28
+TIMEOUT_S = 1.2
+DEADLINE_MS = 2000
+LATE_S = 0.5
+CHUNKS = b"1\r\nx\r\n" * 10_000
+
+
+_RNG = random.Random(SEED)
+
+
+async def _answer_at_times(upstream, request_id, reader, writer) -> bool:
+    """Send some of the answers in chunks until the caller closes."""
+    if _RNG.random() >= FAULTY_ANSWERS:
+        return False
+    upstream.log("endless", server=upstream.name, id=request_id)
+    head = (
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        f"X-Chiverun-Request-Id: {request_id}\r\n"
+        "X-Chiverun-Response-Stamp: s.1\r\n\r\n"
+    )
+    writer.write(head.encode())
+    while True:
+        writer.write(CHUNKS)
+        await writer.drain()
 
 
 async def _play(world: World, record: Record) -> bool:
     """Return whether the rule was kept."""
     row = {"zone": "musanze-a", "work_s": WORK_S, "body": b"r" * 400}
     await world.start(
-        services={"crew-ledger": [dict(row) for _ in range(14)]},
+        services={"race-works": [dict(row) for _ in range(8)]},
         routes=[
             rule(
-                "/logs/",
-                "crew-ledger",
-                timeout=f"{TIMEOUT_MS}ms",
-                sticky=True,
+                "/status/",
+                "race-works",
+                timeout=f"{int(TIMEOUT_S * 1000)}ms",
+                aim="300ms",
             )
         ],
         machines=["musanze-a", "musanze-a"],
-        memory_mb=MEMORY_MB,
     )
-    machine = world.machines[0]
     loop = asyncio.get_running_loop()
-    record("memory", machine=machine.name, mb=round(machine.memory_mb()))
-    peak_mb = 0.0
-    killed = asyncio.Event()
-
-    async def platform() -> None:
-        """Kill the process once it exceeds its memory."""
-        nonlocal peak_mb
-        shown_at = loop.time()
-        while True:
-            await asyncio.sleep(0.02)
-            used_mb = machine.memory_mb()
-            peak_mb = max(peak_mb, used_mb)
-            if loop.time() - shown_at > 2:
-                shown_at = loop.time()
-                record("memory", machine=machine.name, mb=round(used_mb))
-            if used_mb > MEMORY_MB and not killed.is_set():
-                killed.set()
-                record("over its memory", mb=round(used_mb))
-                machine.signal(signal.SIGKILL)
-
-    until = loop.time() + PLAY_S
-    objects = 0
-    results = []
-
-    def next_key() -> str:
-        nonlocal objects
-        objects += 1
-        number = objects if TROUBLE else objects % OBJECTS
-        return f"{number:08d}".ljust(KEY_BYTES, "k")
-
-    async def call(reader, writer) -> http.Response:
+
+    async def trouble() -> None:
+        faulty = world.upstreams[:FAULTY_UPSTREAMS]
+        await asyncio.sleep(FAULTY_FROM_S)
+        record("wrong bytes begin", servers=[up.name for up in faulty])
+        for upstream in faulty:
+            upstream.faulty = _answer_at_times
+        await asyncio.sleep(FAULTY_FOR_S)
+        record("wrong bytes end")
+        for upstream in faulty:
+            upstream.faulty = None
+
+    if TROUBLE:
+        world.run(trouble())
+
+    async def client(number: int) -> tuple:
         request_id = world.new_id()
-        rows = [
-            ("Host", HOST),
-            ("X-Chiverun-Request-Id", request_id),
-            ("X-Chiverun-Affinity-Key", next_key()),
-            ("X-Chiverun-Deadline-Ms", str(DEADLINE_MS)),
-        ]
+        machine = world.machines[number % len(world.machines)]
         sent_at = loop.time()
-        got = http.Response(error="deadline")
-        try:
-            async with asyncio.timeout(DEADLINE_MS / 1000):
-                writer.write(http.request("GET", "/logs/1", rows, b""))
-                got = await http.read_response(reader)
-        except (TimeoutError, OSError) as exc:
-            got.error = repr(exc)
+        got = await world.ask(
+            machine.front,
+            "GET",
+            f"/status/{number}",
+            headers=[
+                ("X-Chiverun-Request-Id", request_id),
+                ("X-Chiverun-Deadline-Ms", str(DEADLINE_MS)),
+            ],
+            timeout_s=DEADLINE_MS / 1000,
+        )
+        lasted_s = loop.time() - sent_at
         record(
             "answered" if got.complete else "cut",
             id=request_id,
+            machine=machine.name,
             status=got.status,
-            after_s=round(loop.time() - sent_at, 3),
+            after_s=round(lasted_s, 3),
             error=got.error,
         )
-        results.append((request_id, got))
-        return got
-
-    async def client(number: int) -> None:
-        """Use one connection for all requests."""
-        await asyncio.sleep(number / REQUESTS_PER_S)
-        host, _, port = machine.front.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            next_at = loop.time()
-            while loop.time() < until and not killed.is_set():
-                got = await call(reader, writer)
-                if not got.complete:
-                    return
-                next_at += CLIENTS / REQUESTS_PER_S
-                await asyncio.sleep(max(0.0, next_at - loop.time()))
-        finally:
-            writer.close()
-
-    watch = asyncio.create_task(platform())
-    await asyncio.gather(*(client(i) for i in range(CLIENTS)))
-    watch.cancel()
-    runs = {}
-    for upstream in world.upstreams:
-        runs.update(upstream.runs)
-    if not runs:
-        raise CouldNotRun("no request reached an upstream")
-    lost = [
-        request_id
-        for request_id, got in results
-        if request_id in runs and not got.complete
-    ]
+        return lasted_s, got
+
+    unanswered_probes = 0
+
+    async def probe() -> None:
+        """Ask each machine once a second whether it is ready."""
+        nonlocal unanswered_probes
+        while True:
+            await asyncio.sleep(1)
+            for machine in world.machines:
+                if not await machine.is_ready():
+                    unanswered_probes += 1
+                    record("probe not answered in 1 s", machine=machine.name)
+
+    own_lag_s = 0.0
+
+    async def watch_own_lag() -> None:
+        """Note how late this script's own event loop is."""
+        nonlocal own_lag_s
+        while True:
+            due_at = loop.time() + 0.02
+            await asyncio.sleep(0.02)
+            own_lag_s = max(own_lag_s, loop.time() - due_at)
+
+    world.run(probe())
+    world.run(watch_own_lag())
+    tasks = []
+    for number in range(int(PLAY_S * REQUESTS_PER_S)):
+        tasks.append(asyncio.create_task(client(number)))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    results = await asyncio.gather(*tasks)
+    long = [row for row in results if row[0] >= TIMEOUT_S]
+    late = [row for row in long if row[0] > TIMEOUT_S + LATE_S]
+    never = [row for row in results if not row[1].complete]
+    good = [row for row in results if row[1].status == 200]
     record(
         "result",
         requests=len(results),
-        passed_on=len(runs),
-        without_complete_answer=len(lost),
-        peak_mb=round(peak_mb),
-        killed=killed.is_set(),
+        succeeded=len(good),
+        longer_than_timeout=len(long),
+        unanswered_half_a_second_later=len(late),
+        unanswered_at_deadline=len(never),
+        probes_not_answered=unanswered_probes,
+        own_lag_s=round(own_lag_s, 3),
+        longest_s=round(max(row[0] for row in results), 3),
     )
-    return len(lost) <= LOST_MOST
+    return not (len(late) >= 8 and len(late) > len(long) / 4)
 
 
 async def _main() -> int:
