--- a/review/3/run.py
+++ b/review/3/run.py
@@ -21,8 +21,8 @@
 FAULTY_FROM_S = 3.0
 FAULTY_FOR_S = 5.0
 SEED = 28
-TIMEOUT_S = 1.2
-DEADLINE_MS = 2000
+TIMEOUT_S = 1.5
+DEADLINE_MS = 2500
 LATE_S = 0.5
 CHUNKS = b"1\r\nx\r\n" * 10_000
 
@@ -53,10 +53,11 @@
         services={"race-works": [dict(row) for _ in range(8)]},
         routes=[
             rule(
-                "/status/",
+                "/dispatch/",
                 "race-works",
+                kind="unsafe",
                 timeout=f"{int(TIMEOUT_S * 1000)}ms",
-                aim="300ms",
+                aim="400ms",
             )
         ],
         machines=["musanze-a", "musanze-a"],
@@ -83,12 +84,13 @@
         sent_at = loop.time()
         got = await world.ask(
             machine.front,
-            "GET",
-            f"/status/{number}",
+            "POST",
+            f"/dispatch/{number}",
             headers=[
                 ("X-Chiverun-Request-Id", request_id),
                 ("X-Chiverun-Deadline-Ms", str(DEADLINE_MS)),
             ],
+            body=b"d" * 1200,
             timeout_s=DEADLINE_MS / 1000,
         )
         lasted_s = loop.time() - sent_at
