Say what held the event loop while it was late

A tick of 0.1 s now measures how late the loop is; a late one is logged with the thread's processor time and the three largest holders among callers, servers, store, instances and garbage collection, with peer, time and events. Metrics chiverun_loop_late and chiverun_loop_held.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -20,6 +20,10 @@
 from chiverun.core.exchange import TimedOut
 from chiverun.core.exchange import TooLarge
 from chiverun.core.ids import Address
+from chiverun.core.loopusage import LoopPart
+from chiverun.core.loopusage import LoopUsage
+from chiverun.core.loopusage import PeerName
+from chiverun.core.loopusage import Source
 from chiverun.integrations.network import split_address
 from chiverun.integrations.sockets import set_peer_timeout
 
@@ -61,8 +65,16 @@
     """
 
     def __init__(
-        self, *, body_bytes_max: int, memory: ByteBudget | None = None
+        self,
+        *,
+        body_bytes_max: int,
+        memory: ByteBudget | None = None,
+        source: Source | None = None,
+        usage: LoopUsage | None = None,
     ) -> None:
+        self._source = source or Source(part=LoopPart.SERVERS)
+        self._usage = usage or LoopUsage()
+        self._loop = asyncio.get_running_loop()
         self._body_bytes_max = body_bytes_max
         self._bytes_max = FRAMING_FACTOR * body_bytes_max + HEADER_BYTES_MAX
         self._held = (memory or ByteBudget()).hold(self._drop_body)
@@ -92,7 +104,9 @@
             # No request is pending, so the bytes belong to none.
             self.abort()
             return
-        self._process_events(data)
+        started_at = self._loop.time()
+        events = self._process_events(data)
+        self._usage.add(self._source, self._loop.time() - started_at, events)
 
     def eof_received(self) -> bool:
         self.reusable = False
@@ -179,22 +193,26 @@
             or states != (h11.DONE, h11.DONE)
         )
 
-    def _process_events(self, data: bytes) -> None:
+    def _process_events(self, data: bytes) -> int:
+        """Process what was received; return the number of events."""
+        events = 0
         self._received_bytes += len(data)
         if self._received_bytes > self._bytes_max:
             self._give_up(TooLarge(limit=self._body_bytes_max))
-            return
+            return events
         try:
             self._http.receive_data(data)
             while (event := self._http.next_event()) is not h11.NEED_DATA:
+                events += 1
                 if not self._handle_event(event):
-                    return
+                    return events
         except h11.RemoteProtocolError as exc:
             self.abort()
             if data or self._response is not None:
                 self._set_result(Incomplete(detail=str(exc)))
             else:
                 self._set_result(Reset(detail="closed without a response"))
+        return events
 
     def _handle_event(self, event: h11.Event | type[h11.PAUSED]) -> bool:
         match event:
@@ -287,6 +305,8 @@
     timeout_s: float,
     body_bytes_max: int,
     memory: ByteBudget | None = None,
+    part: LoopPart = LoopPart.SERVERS,
+    usage: LoopUsage | None = None,
 ) -> ClientConnection:
     """Open a connection.
 
@@ -300,7 +320,10 @@
     async with asyncio.timeout(timeout_s):
         _, connection = await loop.create_connection(
             lambda: ClientConnection(
-                body_bytes_max=body_bytes_max, memory=memory
+                body_bytes_max=body_bytes_max,
+                memory=memory,
+                source=Source(part=part, peer=PeerName(address)),
+                usage=usage,
             ),
             host,
             port,
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -16,6 +16,10 @@
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.catalog import ClientLimits
 from chiverun.core.ids import Address
+from chiverun.core.loopusage import LoopPart
+from chiverun.core.loopusage import LoopUsage
+from chiverun.core.loopusage import PeerName
+from chiverun.core.loopusage import Source
 from chiverun.integrations.network import split_address
 from chiverun.integrations.sockets import set_peer_timeout
 
@@ -79,6 +83,7 @@
     handler: Handler
     limits: ClientLimits = dataclasses.field(default_factory=ClientLimits)
     memory: ByteBudget = dataclasses.field(default_factory=ByteBudget)
+    usage: LoopUsage = dataclasses.field(default_factory=LoopUsage)
     closing: bool = False
     connections: set["ServerConnection"] = dataclasses.field(
         default_factory=set
@@ -126,6 +131,10 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         set_peer_timeout(sock, timeout_ms=PEER_TIMEOUT_MS)
+        host, port = transport.get_extra_info("peername")[:2]
+        self._source = Source(
+            part=LoopPart.CALLERS, peer=PeerName(f"{host}:{port}")
+        )
         self._state.connections.add(self)
         self._set_timer(self._state.limits.header_timeout_s)
 
@@ -165,28 +174,36 @@
             # cannot extend it.
             self._is_reading_head = True
             self._set_timer(self._state.limits.header_timeout_s)
+        started_at = self._loop.time()
         self._http.receive_data(data)
-        self._process_events()
+        events = self._process_events()
+        self._state.usage.add(
+            self._source, self._loop.time() - started_at, events
+        )
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or handled."""
         if not self.is_busy and self._transport is not None:
             self._transport.close()
 
-    def _process_events(self) -> None:
+    def _process_events(self) -> int:
+        """Process what was received; return the number of events."""
+        events = 0
         try:
             while self._task is None and self._is_writable:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
+                events += 1
                 if not self._handle_event(event):
-                    return
+                    return events
             if self._http.they_are_waiting_for_100_continue:
                 self._write(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint or 400, str(exc))
+        return events
 
     def _handle_event(self, event: h11.Event) -> bool:
         match event:
--- a/chiverun/platform/serve.py
+++ b/chiverun/platform/serve.py
@@ -6,6 +6,7 @@
 import logbook
 
 from chiverun.core.edgesettings import EdgeSettings
+from chiverun.core.loopusage import LoopUsage
 from chiverun.integrations.logs import set_up_stdout_logs
 from chiverun.platform.headercodec import PlatformHeaderCodec
 from chiverun.platform.ingress import Ingress
@@ -32,10 +33,12 @@
 
 
 async def _serve(cfg: EdgeSettings) -> None:
-    store = PlatformStore(address=cfg.store)
+    usage = LoopUsage()
+    store = PlatformStore(address=cfg.store, usage=usage)
     edge = Edge(
         cfg=cfg,
         store=store,
+        usage=usage,
         header_codec=PlatformHeaderCodec(),
         read_settings=read_platform_settings,
     )
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -10,6 +10,8 @@
 from chiverun.core.catalog import Machine
 from chiverun.core.exchange import Answered
 from chiverun.core.ids import Address
+from chiverun.core.loopusage import LoopPart
+from chiverun.core.loopusage import LoopUsage
 from chiverun.core.replica import Unreadable
 from chiverun.core.replica import VersionedRecord
 from chiverun.core.revisions import Era
@@ -47,8 +49,11 @@
 class PlatformStore:
     """Client with one persistent connection and one call at a time."""
 
-    def __init__(self, *, address: Address) -> None:
+    def __init__(
+        self, *, address: Address, usage: LoopUsage | None = None
+    ) -> None:
         self._address = address
+        self._usage = usage
         self._connection: ClientConnection | None = None
         self._timeout_s = CALL_TIMEOUT_S
         self._era = Era(0)
@@ -207,6 +212,8 @@
                     self._address,
                     timeout_s=CONNECT_TIMEOUT_S,
                     body_bytes_max=_BODY_BYTES_MAX,
+                    part=LoopPart.STORE,
+                    usage=self._usage,
                 )
             except (OSError, TimeoutError) as exc:
                 raise CatalogUnavailable(f"connect: {exc!r}") from exc
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -20,6 +20,7 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import ZoneName
+from chiverun.core.loopusage import LoopUsage
 from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import Handler
 from chiverun.integrations.asyncserver import IncomingRequest
@@ -35,6 +36,7 @@
 from chiverun.runtime.follower import CatalogFollower
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.limitexchange import LimitExchange
+from chiverun.runtime.loopwatch import LoopWatch
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import Sender
 from chiverun.runtime.servertable import ServerTable
@@ -69,6 +71,7 @@
         store: CatalogStore,
         header_codec: HeaderCodec,
         read_settings: Callable[[], EdgeSettings],
+        usage: LoopUsage,
     ) -> None:
         self.cfg = cfg
         self._read_settings = read_settings
@@ -96,6 +99,8 @@
             on_suspect=lambda message: self._suspects.receive(message),
         )
         self.metrics = EdgeMetrics()
+        self._usage = usage
+        self._loop_watch = LoopWatch(usage=usage, metrics=self.metrics)
         self._servers = ServerTable(machine=cfg.name)
         self._limits = LimitExchange(
             servers=self._servers,
@@ -117,7 +122,9 @@
             region_zones=self._region_zones,
         )
         memory = _body_memory(cfg)
-        self._sender = Sender(header_codec=header_codec, memory=memory)
+        self._sender = Sender(
+            header_codec=header_codec, memory=memory, usage=usage
+        )
         self._steering = Steering(
             header_codec=header_codec,
             selector=selector,
@@ -141,7 +148,9 @@
             table=self.follower.table, leaving=self.is_stopping
         )
         self._loop.set_exception_handler(self._on_unexpected)
-        self._entry = ListenerState(handler=self._handle, memory=memory)
+        self._entry = ListenerState(
+            handler=self._handle, memory=memory, usage=usage
+        )
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -196,11 +205,14 @@
         self.follower.start()
         await self._listen(self.cfg.entry, self._entry)
         for address, handler in handlers.items():
-            await self._listen(address, ListenerState(handler=handler))
+            await self._listen(
+                address, ListenerState(handler=handler, usage=self._usage)
+            )
         self._start_task("follow", self.follower.follow)
         self._start_task("beat", self.follower.send_heartbeats_forever)
         self._start_task("cold", self._cold_checks.check_forever)
         self._start_task("limits", self._limits.send_forever)
+        self._start_task("loop", self._loop_watch.watch_forever)
         _LOG.info(
             "started",
             extra={
--- a/chiverun/runtime/edgemetrics.py
+++ b/chiverun/runtime/edgemetrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client import generate_latest
 
+from chiverun.core.loopusage import Usage
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import OutgoingResponse
 
@@ -24,6 +25,7 @@
     4.0,
     8.0,
 )
+LOOP_LATE_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 
 
 class EdgeMetrics:
@@ -40,6 +42,13 @@
             unit="s",
             explicit_bucket_boundaries_advisory=list(LATENCY_BUCKETS_S),
         )
+        self._loop_late = meter.create_histogram(
+            "chiverun.loop.late",
+            unit="s",
+            explicit_bucket_boundaries_advisory=list(LOOP_LATE_BUCKETS_S),
+        )
+        # Time that the event loop was held, by part of the program.
+        self._loop_held = meter.create_counter("chiverun.loop.held", unit="s")
         self.sends = meter.create_counter("chiverun.sends")
         self.overload_refused = meter.create_counter(
             "chiverun.requests.overload_refused"
@@ -66,6 +75,12 @@
         self._requests.add(1, {"status": str(status)})
         self._latency.record(seconds)
 
+    def record_loop(self, late_s: float, usages: list[Usage]) -> None:
+        """Record how late the event loop was, and the usage meanwhile."""
+        self._loop_late.record(late_s)
+        for row in usages:
+            self._loop_held.add(row.seconds, {"part": row.source.part.value})
+
     async def handle(self, incoming: IncomingRequest) -> OutgoingResponse:
         """Return the metrics in the Prometheus text format."""
         return OutgoingResponse(
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -19,6 +19,7 @@
 from chiverun.core.exchange import ShedReason
 from chiverun.core.health import eject
 from chiverun.core.health import record
+from chiverun.core.loopusage import LoopUsage
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
 from chiverun.integrations.asyncclient import OutgoingRequest
@@ -82,8 +83,13 @@
     """Sends requests and records the health and load of servers."""
 
     def __init__(
-        self, *, header_codec: HeaderCodec, memory: ByteBudget
+        self,
+        *,
+        header_codec: HeaderCodec,
+        memory: ByteBudget,
+        usage: LoopUsage | None = None,
     ) -> None:
+        self._usage = usage or LoopUsage()
         self._header_codec = header_codec
         self._memory = memory
         self._loop = asyncio.get_running_loop()
@@ -253,6 +259,7 @@
                 timeout_s=timeout_s,
                 body_bytes_max=RESPONSE_BYTES_MAX,
                 memory=self._memory,
+                usage=self._usage,
             )
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             # Also for an address that no connection can have.
