Process costly peers' bytes in turns

Cause: what a read returned (up to 256 KiB) was parsed to its end in one callback, an event at a time: 43,691 events took 450 to 790 ms (logs of the commit before: one connection held 98 to 99% of each late tick). A request needs several turns of the loop and each turn read the same connection again. Only bytes were limited. A request's body also set a timer for each piece, and a head or trailers of 15,000 lines, 60,000 bytes, took 35 to 54 ms in one step.

Now time is accounted for each connection. Bytes are processed for 1 ms at most; the rest, and all of a connection that uses too much beyond its complete messages, waits without being read and gets a quarter of the time together with all others that wait, the one that used least for its message first. Bytes that wait count towards the bound on bodies. So nothing depends on the size of a chunk, a read or a body.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -21,10 +21,11 @@
 from chiverun.core.exchange import TooLarge
 from chiverun.core.ids import Address
 from chiverun.core.loopusage import LoopPart
-from chiverun.core.loopusage import LoopUsage
 from chiverun.core.loopusage import PeerName
 from chiverun.core.loopusage import Source
 from chiverun.integrations.network import split_address
+from chiverun.integrations.pieces import Pieces
+from chiverun.integrations.readturns import ReadTurns
 from chiverun.integrations.sockets import set_peer_timeout
 
 # The connection fails if the peer acknowledges no data for this long.
@@ -58,7 +59,7 @@
     matches_request: Callable[[list[tuple[str, str]]], bool]
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A persistent connection.
 
     `reusable` is False once the connection must not carry another exchange.
@@ -70,11 +71,16 @@
         body_bytes_max: int,
         memory: ByteBudget | None = None,
         source: Source | None = None,
-        usage: LoopUsage | None = None,
+        turns: ReadTurns | None = None,
     ) -> None:
-        self._source = source or Source(part=LoopPart.SERVERS)
-        self._usage = usage or LoopUsage()
-        self._loop = asyncio.get_running_loop()
+        self._turns = turns or ReadTurns()
+        self._turn = self._turns.open(
+            source or Source(part=LoopPart.SERVERS), self
+        )
+        self._unread = Pieces()
+        self._is_ended = False
+        # Why the connection was lost while received bytes waited.
+        self._lost_detail: str | None = None
         self._body_bytes_max = body_bytes_max
         self._bytes_max = FRAMING_FACTOR * body_bytes_max + HEADER_BYTES_MAX
         self._held = (memory or ByteBudget()).hold(self._drop_body)
@@ -99,31 +105,63 @@
         sock = transport.get_extra_info("socket")
         set_peer_timeout(sock, timeout_ms=PEER_TIMEOUT_MS)
 
-    def data_received(self, data: bytes) -> None:
-        if self._waiter is None or self._waiter.done():
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._turns.buffer
+
+    def buffer_updated(self, count: int) -> None:
+        if not self._is_awaiting:
             # No request is pending, so the bytes belong to none.
             self.abort()
             return
-        started_at = self._loop.time()
-        events = self._process_events(data)
-        self._usage.add(self._source, self._loop.time() - started_at, events)
+        self._received_bytes += count
+        if self._received_bytes > self._bytes_max:
+            self._give_up(TooLarge(limit=self._body_bytes_max))
+            return
+        self._unread.add(bytes(self._turns.buffer[:count]))
+        self._turn.run()
 
     def eof_received(self) -> bool:
         self.reusable = False
-        if self._waiter is not None and not self._waiter.done():
-            self._process_events(b"")
+        if self._is_awaiting:
+            # Nothing else is unread, or reading would be paused.
+            self._is_ended = True
+            self._unread.end()
+            while self.process_next():
+                pass
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.reusable = False
+        detail = f"connection lost: {exc}"
+        if self._turn.is_waiting:
+            # The response may be among what waits.
+            self._lost_detail = detail
+        else:
+            self._end_lost(detail)
+
+    def _end_lost(self, detail: str) -> None:
         if self._response is not None:
-            self._set_result(Incomplete(detail=f"connection lost: {exc}"))
+            self._set_result(Incomplete(detail=detail))
         else:
-            self._set_result(Reset(detail=f"connection lost: {exc}"))
+            self._set_result(Reset(detail=detail))
+
+    def wait(self) -> None:
+        """Read no more until the received bytes have been processed."""
+        self._transport.pause_reading()
+        self._held.grow(len(self._unread))
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._lost_detail is not None:
+            self._end_lost(self._lost_detail)
+        elif not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def abort(self) -> None:
         """Close at once, discarding buffered data."""
         self.reusable = False
+        self._unread.clear()
+        self._turn.close()
         if self._transport is not None:
             self._transport.abort()
 
@@ -189,30 +227,35 @@
         states = (self._http.our_state, self._http.their_state)
         return bool(
             unsent
+            or len(self._unread)
             or self._http.trailing_data[0]
             or states != (h11.DONE, h11.DONE)
         )
 
-    def _process_events(self, data: bytes) -> int:
-        """Process what was received; return the number of events."""
-        events = 0
-        self._received_bytes += len(data)
-        if self._received_bytes > self._bytes_max:
-            self._give_up(TooLarge(limit=self._body_bytes_max))
-            return events
+    @property
+    def _is_awaiting(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
+    def process_next(self) -> bool:
+        """Process an event; return whether another may follow at once."""
+        if not self._is_awaiting:
+            return False
         try:
-            self._http.receive_data(data)
-            while (event := self._http.next_event()) is not h11.NEED_DATA:
-                events += 1
-                if not self._handle_event(event):
-                    return events
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                return self._unread.feed(self._http)
+            self._unread.note_event()
+            return self._handle_event(event)
         except h11.RemoteProtocolError as exc:
-            self.abort()
-            if data or self._response is not None:
-                self._set_result(Incomplete(detail=str(exc)))
-            else:
-                self._set_result(Reset(detail="closed without a response"))
-        return events
+            self._end_malformed(str(exc))
+            return False
+
+    def _end_malformed(self, reason: str) -> None:
+        self.abort()
+        if self._is_ended and self._response is None:
+            self._set_result(Reset(detail="closed without a response"))
+        else:
+            self._set_result(Incomplete(detail=reason))
 
     def _handle_event(self, event: h11.Event | type[h11.PAUSED]) -> bool:
         match event:
@@ -258,6 +301,7 @@
             return self._skip_response()
         if self._http.their_state is not h11.DONE:
             self.reusable = False
+        self._turn.complete_message()
         self._set_result(
             Answered(
                 status=response.status_code,
@@ -306,7 +350,7 @@
     body_bytes_max: int,
     memory: ByteBudget | None = None,
     part: LoopPart = LoopPart.SERVERS,
-    usage: LoopUsage | None = None,
+    turns: ReadTurns | None = None,
 ) -> ClientConnection:
     """Open a connection.
 
@@ -323,7 +367,7 @@
                 body_bytes_max=body_bytes_max,
                 memory=memory,
                 source=Source(part=part, peer=PeerName(address)),
-                usage=usage,
+                turns=turns,
             ),
             host,
             port,
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -17,10 +18,12 @@
 from chiverun.core.catalog import ClientLimits
 from chiverun.core.ids import Address
 from chiverun.core.loopusage import LoopPart
-from chiverun.core.loopusage import LoopUsage
 from chiverun.core.loopusage import PeerName
 from chiverun.core.loopusage import Source
 from chiverun.integrations.network import split_address
+from chiverun.integrations.pieces import Pieces
+from chiverun.integrations.readturns import ReadTurns
+from chiverun.integrations.readturns import Turn
 from chiverun.integrations.sockets import set_peer_timeout
 
 _LOG = logbook.Logger("server")
@@ -83,7 +86,7 @@
     handler: Handler
     limits: ClientLimits = dataclasses.field(default_factory=ClientLimits)
     memory: ByteBudget = dataclasses.field(default_factory=ByteBudget)
-    usage: LoopUsage = dataclasses.field(default_factory=LoopUsage)
+    turns: ReadTurns = dataclasses.field(default_factory=ReadTurns)
     closing: bool = False
     connections: set["ServerConnection"] = dataclasses.field(
         default_factory=set
@@ -95,7 +98,7 @@
         return sum(conn.is_busy for conn in self.connections)
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """A connection accepted from a caller."""
 
     def __init__(self, *, state: ListenerState) -> None:
@@ -109,8 +112,10 @@
         self._arrived_at = 0.0
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
+        self._turn: Turn | None = None
+        self._unread = Pieces()
         self._timer: asyncio.TimerHandle | None = None
-        self._pipelined_bytes = 0
+        self._times_out_at = math.inf
         self._is_reading_head = False
         self._is_writable = True
         # Bytes that may still be discarded, None before a refusal.
@@ -132,14 +137,15 @@
         sock = transport.get_extra_info("socket")
         set_peer_timeout(sock, timeout_ms=PEER_TIMEOUT_MS)
         host, port = transport.get_extra_info("peername")[:2]
-        self._source = Source(
-            part=LoopPart.CALLERS, peer=PeerName(f"{host}:{port}")
-        )
+        source = Source(part=LoopPart.CALLERS, peer=PeerName(f"{host}:{port}"))
+        self._turn = self._state.turns.open(source, self)
         self._state.connections.add(self)
         self._set_timer(self._state.limits.header_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._state.connections.discard(self)
+        self._unread.clear()
+        self._turn.close()
         self._clear_timer()
         self._held.release()
         if self._task is not None:
@@ -152,58 +158,77 @@
 
     def resume_writing(self) -> None:
         self._is_writable = True
+        if self._turn.is_waiting:
+            return
         self._transport.resume_reading()
         if self._linger_bytes is None:
-            self._process_events()
+            self._turn.run()
 
     def eof_received(self) -> bool:
         # A half-closed connection counts as closed by the caller.
         return False
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._state.turns.buffer
+
+    def buffer_updated(self, count: int) -> None:
         if self._linger_bytes is not None:
-            self._discard(len(data))
+            self._discard(count)
+            return
+        is_handling = self._task is not None
+        if is_handling and len(self._unread) + count > _PIPELINED_BYTES_MAX:
+            self._transport.abort()
             return
-        if self._task is not None:
-            self._pipelined_bytes += len(data)
-            if self._pipelined_bytes > _PIPELINED_BYTES_MAX:
-                self._transport.abort()
-                return
         if self._request is None and not self._is_reading_head:
             # The limit counts from the first byte, so that a slow sender
             # cannot extend it.
             self._is_reading_head = True
             self._set_timer(self._state.limits.header_timeout_s)
-        started_at = self._loop.time()
-        self._http.receive_data(data)
-        events = self._process_events()
-        self._state.usage.add(
-            self._source, self._loop.time() - started_at, events
-        )
+        self._unread.add(bytes(self._state.turns.buffer[:count]))
+        self._turn.run()
+
+    def wait(self) -> None:
+        """Read no more until the received bytes have been processed."""
+        self._transport.pause_reading()
+        if self._task is None:
+            self._held.grow(len(self._unread))
+
+    def resume(self) -> None:
+        """Read on, unless the caller does not read its responses."""
+        if self._is_writable:
+            self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """Close at once, discarding buffered data."""
+        self._transport.abort()
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or handled."""
         if not self.is_busy and self._transport is not None:
             self._transport.close()
 
-    def _process_events(self) -> int:
-        """Process what was received; return the number of events."""
-        events = 0
+    def process_next(self) -> bool:
+        """Process an event; return whether another may follow at once."""
+        is_blocked = self._task is not None or not self._is_writable
+        if is_blocked or self._linger_bytes is not None:
+            return False
         try:
-            while self._task is None and self._is_writable:
-                event = self._http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    break
-                events += 1
-                if not self._handle_event(event):
-                    return events
-            if self._http.they_are_waiting_for_100_continue:
-                self._write(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
+            event = self._http.next_event()
+            if event is h11.PAUSED:
+                return False
+            if event is h11.NEED_DATA:
+                return self._unread.feed(self._http) or self._await_data()
+            self._unread.note_event()
+            return self._handle_event(event)
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint or 400, str(exc))
-        return events
+            return False
+
+    def _await_data(self) -> bool:
+        """Ask for the body if the caller waits for that; return False."""
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        return False
 
     def _handle_event(self, event: h11.Event) -> bool:
         match event:
@@ -213,6 +238,7 @@
                 return self._add_to_body(event.data)
             case h11.EndOfMessage():
                 self._clear_timer()
+                self._turn.complete_message()
                 self._start_handler()
             case h11.ConnectionClosed():
                 self._transport.close()
@@ -272,7 +298,6 @@
         )
         self._body = bytearray()
         self._held.pin()
-        self._pipelined_bytes = 0
         self._state.last_request_at = self._arrived_at
         self._task = self._loop.create_task(self._serve(request))
 
@@ -329,7 +354,7 @@
             return
         self._http.start_next_cycle()
         self._set_timer(self._state.limits.idle_timeout_s)
-        self._process_events()
+        self._turn.run()
 
     def _reject(self, status: int, reason: str) -> None:
         """Respond to an invalid request and close the connection."""
@@ -339,6 +364,7 @@
         self._clear_timer()
         self._held.release()
         self._body = bytearray()
+        self._unread.clear()
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._transport.close()
             return
@@ -378,14 +404,30 @@
             self._transport.write(piece)
 
     def _set_timer(self, timeout_s: float) -> None:
-        self._clear_timer()
-        self._timer = self._loop.call_later(timeout_s, self._on_timeout)
+        """Set the time-out, which each piece of a body extends.
+
+        A timer that fires too early is set again.
+        """
+        self._times_out_at = self._loop.time() + timeout_s
+        if self._timer is None or self._timer.when() > self._times_out_at:
+            self._clear_timer()
+            self._start_timer()
+
+    def _start_timer(self) -> None:
+        self._timer = self._loop.call_at(self._times_out_at, self._on_timer)
 
     def _clear_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._loop.time() < self._times_out_at:
+            self._start_timer()
+        else:
+            self._on_timeout()
+
     def _on_timeout(self) -> None:
         if self._request is not None and self._linger_bytes is None:
             self._reject(408, "request was not complete in time")
--- a/chiverun/platform/serve.py
+++ b/chiverun/platform/serve.py
@@ -8,6 +8,7 @@
 from chiverun.core.edgesettings import EdgeSettings
 from chiverun.core.loopusage import LoopUsage
 from chiverun.integrations.logs import set_up_stdout_logs
+from chiverun.integrations.readturns import ReadTurns
 from chiverun.platform.headercodec import PlatformHeaderCodec
 from chiverun.platform.ingress import Ingress
 from chiverun.platform.settings import read_platform_settings
@@ -34,11 +35,13 @@
 
 async def _serve(cfg: EdgeSettings) -> None:
     usage = LoopUsage()
-    store = PlatformStore(address=cfg.store, usage=usage)
+    turns = ReadTurns(usage=usage)
+    store = PlatformStore(address=cfg.store, turns=turns)
     edge = Edge(
         cfg=cfg,
         store=store,
         usage=usage,
+        turns=turns,
         header_codec=PlatformHeaderCodec(),
         read_settings=read_platform_settings,
     )
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -11,7 +11,6 @@
 from chiverun.core.exchange import Answered
 from chiverun.core.ids import Address
 from chiverun.core.loopusage import LoopPart
-from chiverun.core.loopusage import LoopUsage
 from chiverun.core.replica import Unreadable
 from chiverun.core.replica import VersionedRecord
 from chiverun.core.revisions import Era
@@ -27,6 +26,7 @@
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
 from chiverun.integrations.catalogstore import HistoryCompacted
+from chiverun.integrations.readturns import ReadTurns
 from chiverun.platform import records
 from chiverun.platform import values
 
@@ -50,10 +50,10 @@
     """Client with one persistent connection and one call at a time."""
 
     def __init__(
-        self, *, address: Address, usage: LoopUsage | None = None
+        self, *, address: Address, turns: ReadTurns | None = None
     ) -> None:
         self._address = address
-        self._usage = usage
+        self._turns = turns
         self._connection: ClientConnection | None = None
         self._timeout_s = CALL_TIMEOUT_S
         self._era = Era(0)
@@ -213,7 +213,7 @@
                     timeout_s=CONNECT_TIMEOUT_S,
                     body_bytes_max=_BODY_BYTES_MAX,
                     part=LoopPart.STORE,
-                    usage=self._usage,
+                    turns=self._turns,
                 )
             except (OSError, TimeoutError) as exc:
                 raise CatalogUnavailable(f"connect: {exc!r}") from exc
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -30,6 +30,7 @@
 from chiverun.integrations.catalogstore import CatalogStore
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.peers import ZmqPeers
+from chiverun.integrations.readturns import ReadTurns
 from chiverun.runtime.coldchecks import ColdChecks
 from chiverun.runtime.directory import Directory
 from chiverun.runtime.edgemetrics import EdgeMetrics
@@ -72,6 +73,7 @@
         header_codec: HeaderCodec,
         read_settings: Callable[[], EdgeSettings],
         usage: LoopUsage,
+        turns: ReadTurns,
     ) -> None:
         self.cfg = cfg
         self._read_settings = read_settings
@@ -99,7 +101,7 @@
             on_suspect=lambda message: self._suspects.receive(message),
         )
         self.metrics = EdgeMetrics()
-        self._usage = usage
+        self._turns = turns
         self._loop_watch = LoopWatch(usage=usage, metrics=self.metrics)
         self._servers = ServerTable(machine=cfg.name)
         self._limits = LimitExchange(
@@ -123,7 +125,7 @@
         )
         memory = _body_memory(cfg)
         self._sender = Sender(
-            header_codec=header_codec, memory=memory, usage=usage
+            header_codec=header_codec, memory=memory, turns=turns
         )
         self._steering = Steering(
             header_codec=header_codec,
@@ -149,7 +151,7 @@
         )
         self._loop.set_exception_handler(self._on_unexpected)
         self._entry = ListenerState(
-            handler=self._handle, memory=memory, usage=usage
+            handler=self._handle, memory=memory, turns=turns
         )
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -206,7 +208,7 @@
         await self._listen(self.cfg.entry, self._entry)
         for address, handler in handlers.items():
             await self._listen(
-                address, ListenerState(handler=handler, usage=self._usage)
+                address, ListenerState(handler=handler, turns=self._turns)
             )
         self._start_task("follow", self.follower.follow)
         self._start_task("beat", self.follower.send_heartbeats_forever)
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -19,12 +19,12 @@
 from chiverun.core.exchange import ShedReason
 from chiverun.core.health import eject
 from chiverun.core.health import record
-from chiverun.core.loopusage import LoopUsage
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
 from chiverun.integrations.asyncclient import OutgoingRequest
 from chiverun.integrations.asyncserver import Headers
 from chiverun.integrations.asyncserver import IncomingRequest
+from chiverun.integrations.readturns import ReadTurns
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
@@ -87,9 +87,9 @@
         *,
         header_codec: HeaderCodec,
         memory: ByteBudget,
-        usage: LoopUsage | None = None,
+        turns: ReadTurns | None = None,
     ) -> None:
-        self._usage = usage or LoopUsage()
+        self._turns = turns
         self._header_codec = header_codec
         self._memory = memory
         self._loop = asyncio.get_running_loop()
@@ -259,7 +259,7 @@
                 timeout_s=timeout_s,
                 body_bytes_max=RESPONSE_BYTES_MAX,
                 memory=self._memory,
-                usage=self._usage,
+                turns=self._turns,
             )
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             # Also for an address that no connection can have.
