Decode the store's rows one by one

Malformed rows have two log lines a response. A body has 16 MiB at most; changes that take more are read as a listing, whose pages have about 1 MB. msgspec refuses a whole response for one string that is no Unicode; such a one is decoded by json as before, up to 4 MiB.

--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -1,14 +1,20 @@
 """Client of the platform's metadata store."""
 
+import asyncio
 import base64
 import json
+import time
+from collections.abc import AsyncIterator
 from typing import Any
 from urllib.parse import quote
 
 import logbook
+import msgspec
 
 from chiverun.core.catalog import Machine
+from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.exchange import Answered
+from chiverun.core.exchange import TooLarge
 from chiverun.core.ids import Address
 from chiverun.core.loopusage import LoopPart
 from chiverun.core.replica import Unreadable
@@ -20,6 +26,7 @@
 from chiverun.core.revisions import Revision
 from chiverun.core.revisions import STORE_REVISION_MAX
 from chiverun.core.revisions import store_revision_of
+from chiverun.core.timeshare import TURN_S
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
 from chiverun.integrations.asyncclient import OutgoingRequest
@@ -42,8 +49,21 @@
 # which its revisions go back.
 _ERA = "store-era"
 _ERA_DIGITS = len(str(ERA_MAX))
-_BODY_BYTES_MAX = 64 * 1024 * 1024
+# Far above a page of a listing, which has about 1 MB. Changes that take more
+# are read as a listing.
+_BODY_BYTES_MAX = 16 * 1024 * 1024
 _PAGES_MAX = 200
+# Rows are decoded one by one: decoded as a whole, a large response would hold
+# the event loop for as long as all of its rows take.
+_BODY_DECODER = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_ROWS_DECODER = msgspec.json.Decoder(list[msgspec.Raw])
+_ROW_FIELDS = ("items", "events")
+# Bound of a response that is decoded as a whole.
+_WHOLE_BYTES_MAX = 4 * 1024 * 1024
+
+
+class _ResponseTooLarge(CatalogUnavailable):
+    """Raised when a response is over the limit of bytes."""
 
 
 class PlatformStore:
@@ -79,11 +99,13 @@
                 as_of = page_at
             if era_of(page_at) != era_of(as_of):
                 raise CatalogUnavailable("restored between two pages")
-            rows = valid_rows(body, "items")
-            items += self._decode_rows(rows)
-            if not body.get("hasMore") or not rows:
+            last_key = None
+            async for row in valid_rows(body, "items"):
+                last_key = row["key"]
+                items += self._record_of(row)
+            if not body.get("hasMore") or last_key is None:
                 return Changes(items=items, as_of=as_of)
-            after = quote(rows[-1]["key"], safe="")
+            after = quote(last_key, safe="")
             path = f"/-/kv-range?prefix=&after={after}"
         raise CatalogUnavailable(
             f"kv-range returned more than {_PAGES_MAX} pages"
@@ -101,22 +123,28 @@
         CatalogUnavailable
         HistoryGone
         """
-        body = await self._get(
+        path = (
             f"/-/kv-watch?prefix=&after={store_revision_of(revision)}"
-            f"&waitMs={int(wait_s * 1000)}",
-            wait_s=wait_s,
+            f"&waitMs={int(wait_s * 1000)}"
         )
+        try:
+            body = await self._get(path, wait_s=wait_s)
+        except _ResponseTooLarge as exc:
+            raise HistoryCompacted from exc
         if era_of(revision) != self._era:
             # The revision is one of another history.
             raise HistoryCompacted
+        items: list[VersionedRecord] = []
+        async for row in valid_rows(body, "events"):
+            items += self._record_of(row)
         return Changes(
-            items=self._decode_rows(valid_rows(body, "events")),
+            items=items,
             as_of=make_revision(self._era, body["storeRevision"]),
         )
 
-    def _decode_rows(self, rows: list[dict]) -> list[VersionedRecord]:
-        items = [decode_item(row, self._era) for row in rows]
-        return [item for item in items if item is not None]
+    def _record_of(self, row: dict[str, Any]) -> list[VersionedRecord]:
+        item = decode_item(row, self._era)
+        return [] if item is None else [item]
 
     async def register(
         self, machine: Machine, known_revision: Revision
@@ -185,6 +213,8 @@
             # The store may be slow, not down; allow the next call more time.
             self._timeout_s = min(CALL_TIMEOUT_MAX_S, self._timeout_s * 1.5)
             connection.abort()
+            if isinstance(end, TooLarge):
+                raise _ResponseTooLarge(f"{path}: {end}")
             raise CatalogUnavailable(f"{path}: {end}")
         self._timeout_s = max(CALL_TIMEOUT_S, self._timeout_s * 0.9)
         self._follow_era(end, path)
@@ -233,7 +263,7 @@
 
 
 def decode_body(data: bytes, path: str) -> dict[str, Any]:
-    """Decode a response of the store.
+    """Decode a response of the store, but for its rows.
 
     Raises
     ------
@@ -241,30 +271,68 @@
         If the response is malformed.
     """
     try:
-        body = json.loads(data)
+        body = _decode_fields(data)
         values.integer(body, "storeRevision", maximum=STORE_REVISION_MAX)
-    except (ValueError, RecursionError) as exc:
+    except (*DECODE_ERRORS, values.InvalidValueError) as exc:
         raise CatalogUnavailable(f"{path}: {exc}") from exc
     return body
 
 
-def valid_rows(body: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    """Return the valid rows of a response; log and skip the others."""
-    rows = body.get(name)
-    if not isinstance(rows, list):
-        raise CatalogUnavailable(f"{name}: {rows!r} is not a list")
-    readable = []
-    for row in rows:
+def _decode_fields(data: bytes) -> dict[str, Any]:
+    try:
+        return {
+            name: _ROWS_DECODER.decode(value)
+            if name in _ROW_FIELDS
+            else msgspec.json.decode(value)
+            for name, value in _BODY_DECODER.decode(data).items()
+        }
+    except DECODE_ERRORS as exc:
+        # One string that is not Unicode makes a response unreadable for
+        # msgspec; its other rows hold.
+        if len(data) > _WHOLE_BYTES_MAX:
+            raise _ResponseTooLarge(f"{exc} in {len(data)} bytes") from exc
+        return json.loads(data)
+
+
+async def valid_rows(
+    body: dict[str, Any], name: str
+) -> AsyncIterator[dict[str, Any]]:
+    """Decode the valid rows of a response; skip the others.
+
+    After each turn there is a break for everything else.
+
+    Raises
+    ------
+    CatalogUnavailable
+        If the response has no such rows.
+    """
+    if not isinstance(body.get(name), list):
+        raise CatalogUnavailable(f"{name}: {body.get(name)!r} is not a list")
+    skipped = 0
+    turn_ends_at = time.monotonic() + TURN_S
+    for data in body[name]:
         try:
-            values.field(row, "key", str).encode()
-            values.integer(row, "revision", maximum=STORE_REVISION_MAX)
-        except (values.InvalidValueError, UnicodeEncodeError) as exc:
-            _LOG.warning(
-                "skipping malformed store row", extra={"reason": str(exc)}
-            )
+            row = _decode_row(data)
+        except (*DECODE_ERRORS, values.InvalidValueError) as exc:
+            skipped += 1
+            if skipped == 1:
+                _LOG.warning(
+                    "skipping malformed store row", extra={"reason": str(exc)}
+                )
         else:
-            readable.append(row)
-    return readable
+            yield row
+        if time.monotonic() >= turn_ends_at:
+            await asyncio.sleep(0)
+            turn_ends_at = time.monotonic() + TURN_S
+    if skipped > 1:
+        _LOG.warning("malformed store rows skipped", extra={"rows": skipped})
+
+
+def _decode_row(data: Any) -> dict[str, Any]:
+    row = msgspec.json.decode(data) if isinstance(data, msgspec.Raw) else data
+    values.field(row, "key", str).encode()
+    values.integer(row, "revision", maximum=STORE_REVISION_MAX)
+    return row
 
 
 def decode_item(row: dict[str, Any], era: Era) -> VersionedRecord | None:
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -4,6 +4,7 @@
 affects the valid ones.
 """
 
+import asyncio
 import unittest
 
 import logbook
@@ -127,6 +128,11 @@
             pass
 
 
+async def _decode_rows(body, name) -> None:
+    async for row in store_module.valid_rows(body, name):
+        store_module.decode_item(row, Era(1))
+
+
 class StoreBodyTest(unittest.TestCase):
     @_EXAMPLES
     @given(malformed.variants(_STORE_BODY))
@@ -138,11 +144,9 @@
                     checked = store_module.decode_body(
                         malformed.to_json(body), "/x"
                     )
-                    rows = store_module.valid_rows(checked, name)
+                    asyncio.run(_decode_rows(checked, name))
                 except CatalogUnavailable:
                     continue
-                for row in rows:
-                    store_module.decode_item(row, Era(1))
 
 
 class PeerMessageTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,8 +1,12 @@
 """Tests of the store client with a stand-in store and its faults."""
 
+import asyncio
 import json
 import socket
 import unittest
+from unittest import mock
+
+import logbook
 
 from chiverun.core.catalog import Machine
 from chiverun.core.revisions import Era
@@ -24,6 +28,9 @@
     region="r",
 )
 
+# Decoding as a whole takes longer than this, one by one much less.
+_LOOP_HELD_MAX_S = 0.25
+
 
 def free_address() -> str:
     """Return a loopback address with a currently unused port."""
@@ -127,8 +134,66 @@
 
     async def test_malformed_rows_are_skipped(self) -> None:
         """Guards against a malformed row that hides the valid ones."""
-        body = {"items": [7, {}, {"key": 1}], "storeRevision": 3}
-        rows = store_module.valid_rows(body, "items")
-        self.assertEqual(rows, [])
+        valid = {"key": "servers/a", "revision": 2}
+        body = {
+            "items": [7, {}, {"key": 1}, valid, "x", [["\ud800"]]],
+            "storeRevision": 3,
+        }
+        checked = store_module.decode_body(json.dumps(body).encode(), "/x")
+        with logbook.TestHandler() as logs:
+            rows = [
+                row async for row in store_module.valid_rows(checked, "items")
+            ]
+        self.assertEqual([valid], rows)
+        self.assertEqual(2, len(logs.records))
+        self.assertEqual(5, logs.records[-1].extra["rows"])
+        for items in ("x", {}, None, 7):
+            data = json.dumps({**body, "items": items}).encode()
+            with self.assertRaises(CatalogUnavailable):
+                checked = store_module.decode_body(data, "/x")
+                await anext(store_module.valid_rows(checked, "items"))
+        del body["items"]
+        checked = store_module.decode_body(json.dumps(body).encode(), "/x")
         with self.assertRaises(CatalogUnavailable):
-            store_module.valid_rows({"items": "x"}, "items")
+            await anext(store_module.valid_rows(checked, "items"))
+
+    async def test_large_responses_do_not_hold_the_event_loop(self) -> None:
+        """Guards against a store whose rows hold up all requests.
+
+        The rows are valid, malformed, and of another writer, in a response
+        below the limit of bytes.
+        """
+        row = {"key": "servers/a", "revision": 2, "value": "eyJhIjoxfQ=="}
+        for rows in ([row] * 20_000, [[]] * 500_000, [{"key": 1}] * 20_000):
+            data = json.dumps({"items": rows, "storeRevision": 3}).encode()
+            loop = asyncio.get_running_loop()
+            longest_s = await self._decode_beside_ticks(data, loop)
+            self.assertLess(longest_s, _LOOP_HELD_MAX_S)
+
+    async def _decode_beside_ticks(self, data, loop) -> float:
+        """Decode a response; return the longest time between two ticks."""
+
+        async def decode() -> None:
+            with logbook.NullHandler():
+                body = store_module.decode_body(data, "/x")
+                async for row in store_module.valid_rows(body, "items"):
+                    store_module.decode_item(row, Era(1))
+
+        task = asyncio.create_task(decode())
+        longest_s = 0.0
+        while not task.done():
+            began_at = loop.time()
+            await asyncio.sleep(0)
+            longest_s = max(longest_s, loop.time() - began_at)
+        await task
+        return longest_s
+
+    async def test_changes_over_the_limit_are_read_as_a_listing(self) -> None:
+        """Guards against a watch that fails forever on a long history."""
+        as_of = (await self.store.read_all()).as_of
+        for i in range(20):
+            await self.standin.put(f"servers/i-{i}", server_entry())
+        with mock.patch.object(store_module, "_BODY_BYTES_MAX", 3000):
+            self.store.close()
+            with self.assertRaises(HistoryCompacted):
+                await self.store.changes_since(as_of, 0.1)
