Handle messages of other instances in turns

Each message that arrived was scheduled by itself without a bound, and the event loop ran all that had arrived before anything else: a flood, or what had come during a pause, held it as a whole. The transport's thread read until nothing was left, so that messages to send waited as long.

At most 256 are received before those to send go out.

Edge takes its turns as one optional argument now: since tests.runtime.test_edge_errors failed for want of it.

--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -27,6 +27,7 @@
 OUTBOX_BYTES_MAX = 32 * 1024 * 1024
 _OUTBOX_MESSAGES_MAX = 4096
 _CONNECTIONS_MAX = 256
+_RECEIVED_AT_ONCE_MAX = 256
 _IDLE_TIMEOUT_S = 60.0
 _POLL_MS = 500
 
@@ -141,7 +142,8 @@
         self._close_idle()
 
     def _receive_messages(self) -> None:
-        while True:
+        # Messages to send wait meanwhile.
+        for _ in range(_RECEIVED_AT_ONCE_MAX):
             try:
                 parts = self._router.recv_multipart(zmq.NOBLOCK)
             except zmq.ZMQError:
--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -96,7 +96,7 @@
     """Turns of all readers of an event loop."""
 
     def __init__(self, *, usage: LoopUsage | None = None) -> None:
-        self._usage = usage or LoopUsage()
+        self.usage = usage or LoopUsage()
         # Shared by all connections, which copy what they received.
         self.buffer = memoryview(bytearray(READ_BYTES))
         # In the order of their last turns.
@@ -129,7 +129,7 @@
                 now = time.monotonic()
         finally:
             turn.account.charge(now - started_at, now)
-            self._usage.add(turn.source, now - started_at, events)
+            self.usage.add(turn.source, now - started_at, events)
         return not has_more
 
     def enqueue(self, turn: Turn) -> None:
--- a/chiverun/platform/serve.py
+++ b/chiverun/platform/serve.py
@@ -6,7 +6,6 @@
 import logbook
 
 from chiverun.core.edgesettings import EdgeSettings
-from chiverun.core.loopusage import LoopUsage
 from chiverun.integrations.logs import set_up_stdout_logs
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.platform.headercodec import PlatformHeaderCodec
@@ -34,13 +33,11 @@
 
 
 async def _serve(cfg: EdgeSettings) -> None:
-    usage = LoopUsage()
-    turns = ReadTurns(usage=usage)
+    turns = ReadTurns()
     store = PlatformStore(address=cfg.store, turns=turns)
     edge = Edge(
         cfg=cfg,
         store=store,
-        usage=usage,
         turns=turns,
         header_codec=PlatformHeaderCodec(),
         read_settings=read_platform_settings,
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -20,7 +20,6 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import ZoneName
-from chiverun.core.loopusage import LoopUsage
 from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import Handler
 from chiverun.integrations.asyncserver import IncomingRequest
@@ -72,12 +71,12 @@
         store: CatalogStore,
         header_codec: HeaderCodec,
         read_settings: Callable[[], EdgeSettings],
-        usage: LoopUsage,
-        turns: ReadTurns,
+        turns: ReadTurns | None = None,
     ) -> None:
         self.cfg = cfg
         self._read_settings = read_settings
         self._loop = asyncio.get_running_loop()
+        self._turns = turns = turns or ReadTurns()
         self._stopping = asyncio.Event()
         self._stop_requested_at = 0.0
         self._boot_id = BootId(uuid.uuid4().hex[:12])
@@ -99,10 +98,10 @@
             on_change=self._apply_catalog,
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
+            usage=turns.usage,
         )
         self.metrics = EdgeMetrics()
-        self._turns = turns
-        self._loop_watch = LoopWatch(usage=usage, metrics=self.metrics)
+        self._loop_watch = LoopWatch(usage=turns.usage, metrics=self.metrics)
         self._servers = ServerTable(machine=cfg.name)
         self._limits = LimitExchange(
             servers=self._servers,
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -27,6 +27,7 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
+from chiverun.core.loopusage import LoopUsage
 from chiverun.core.peertable import HEARTBEAT_PERIOD_S
 from chiverun.core.peertable import PeerTable
 from chiverun.core.replica import Evacuation
@@ -40,6 +41,7 @@
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
 from chiverun.integrations.catalogstore import HistoryCompacted
+from chiverun.integrations.inbox import Inbox
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.runtime.heartbeats import Heartbeats
 
@@ -72,6 +74,7 @@
         on_change: Callable[[], None],
         on_limits: Callable[[LimitReports], None],
         on_suspect: Callable[[SuspectReport], None],
+        usage: LoopUsage | None = None,
     ) -> None:
         self.replica = Replica()
         self.table = PeerTable(me=me)
@@ -88,6 +91,7 @@
         self._on_suspect = on_suspect
         self._rng = random.Random(boot_id)
         self._loop = asyncio.get_running_loop()
+        self._inbox = Inbox(receive=self._receive, usage=usage)
         self._reads_store = False
         self._needs_full_read = True
         self._read_at = self._loop.time()
@@ -102,11 +106,7 @@
 
     def start(self) -> None:
         """Start receiving messages from peers."""
-        self._peers.start(
-            lambda payload: self._loop.call_soon_threadsafe(
-                self._receive, payload
-            )
-        )
+        self._peers.start(self._inbox.put)
 
     @property
     def is_current(self) -> bool:
