Keep connections open whose requests wait for their turn

Found while reading the turns again: between two pipelined requests a connection counted as idle although the second, received already, waited for its turn; a planned stop would have closed it. test_request_that_waits_for_its_ turn_is_not_idle fails without the line and passes with it.

--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -130,6 +130,7 @@
             self._task is not None
             or self._request is not None
             or self._is_reading_head
+            or self._turn.is_waiting
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/integrations/test_asyncserver.py
+++ b/tests/integrations/test_asyncserver.py
@@ -6,6 +6,7 @@
 
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.catalog import ClientLimits
+from chiverun.core.timeshare import Account
 from chiverun.integrations import asyncserver
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import listen
@@ -232,6 +233,23 @@
         response = await asyncio.wait_for(reader.read(), _TIMEOUT_S)
         self.assertEqual(b"200", response[9:12])
 
+    async def test_request_that_waits_for_its_turn_is_not_idle(self) -> None:
+        """Guards against a stop that cuts off a request that was read."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        with mock.patch.object(Account, "must_wait", return_value=True):
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
+            # Idle until its first byte arrives.
+            while not self.state.active():
+                await asyncio.sleep(0)
+            responses = asyncio.create_task(reader.readuntil(b"/a"))
+            while len(self.handled_requests) < 2:
+                for connection in list(self.state.connections):
+                    connection.close_if_idle()
+                self.assertTrue(self.state.connections)
+                await asyncio.sleep(0)
+            self.assertTrue(await responses)
+
     async def test_caller_that_does_not_read_gets_no_further_responses(
         self,
     ) -> None:
