Pace the threads of costly callers and servers

The processor time that a connection's bytes take is accounted as on the event loop. What is beyond its share delays the thread's next read, so that all such threads together take a quarter of the time; a message whose bytes take more than 0.25 s is given up, a request as not run, before its handler.

--- a/chiverun/integrations/connection.py
+++ b/chiverun/integrations/connection.py
@@ -8,6 +8,7 @@
 
 from chiverun.core.clock import Clock
 from chiverun.integrations.cancellation import Cancellation
+from chiverun.integrations.threadpace import ConnectionPace
 
 CONNECT_TIMEOUT_S = 1.0
 # Limit of received bytes besides the body. A chunk of one byte takes six.
@@ -68,6 +69,7 @@
     deadline = 0.0
     bytes_left = 0
     reader: _ResponseReader
+    pace: ConnectionPace
     is_finished = False
 
     def start_exchange(self, deadline: float, bytes_max: int) -> None:
@@ -77,6 +79,7 @@
         """
         self.deadline = deadline
         self.bytes_left = bytes_max
+        self.pace.begin_message()
         self.is_finished = False
 
     def apply_deadline(self) -> None:
@@ -96,6 +99,8 @@
         self.settimeout(remaining_s)
 
     def recv_into(self, *args, **kwargs) -> int:
+        if not self.is_finished:
+            self.pace.before_read(self.deadline - self.clock.monotonic())
         self.apply_deadline()
         count = super().recv_into(*args, **kwargs)
         self.bytes_left -= count
@@ -167,5 +172,6 @@
             fileno=plain_sock.detach(),
         )
         self.socket.clock = self._clock
+        self.socket.pace = ConnectionPace()
         self.socket.start_exchange(self._deadline, self._bytes_max)
         return self.socket
--- a/chiverun/integrations/web.py
+++ b/chiverun/integrations/web.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import http
+import io
 import re
 import socket
 import threading
@@ -17,6 +18,8 @@
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 from cheroot import wsgi
+from cheroot.makefile import MakeFile
+from cheroot.makefile import StreamReader
 from urllib3.util.wait import wait_for_read
 
 from chiverun.core.errors import ChiverunError
@@ -26,12 +29,15 @@
 from chiverun.core.exchange import EXCHANGE_HEADER
 from chiverun.core.ids import Address
 from chiverun.integrations.network import split_address
+from chiverun.integrations.threadpace import ConnectionPace
 
 BODY_BYTES_MAX = 1024 * 1024
 _HEADER_BYTES_MAX = 16 * 1024
 _IDLE_TIMEOUT_S = 30
 # cheroot's default of 10 makes most callers connect for each request.
 _KEEP_ALIVE_CONNECTIONS_MAX = 1024
+# Longest wait of a costly caller's thread before it reads on.
+_PACE_WAIT_MAX_S = 1.0
 _SOCKET_ENVIRON_KEY = "chiverun.socket"
 _HEADER_LINE_PATTERN = re.compile(
     rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n"
@@ -233,10 +239,34 @@
         super().send_headers()
 
 
+class _PacedReader(StreamReader):
+    """Reads requests at the pace of a costly caller."""
+
+    def __init__(self, sock, mode, bufsize) -> None:
+        super().__init__(sock, mode, bufsize)
+        self.pace = ConnectionPace()
+        self.read_raw = self.raw.readinto
+        self.raw.readinto = self._read_paced
+
+    def _read_paced(self, buffer) -> int | None:
+        self.pace.before_read(_PACE_WAIT_MAX_S)
+        return self.read_raw(buffer)
+
+
+def _make_file(sock, mode="r", bufsize=io.DEFAULT_BUFFER_SIZE):
+    if "r" in mode:
+        return _PacedReader(sock, mode, bufsize)
+    return MakeFile(sock, mode, bufsize)
+
+
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
 
+    def __init__(self, server, sock, makefile=MakeFile) -> None:
+        super().__init__(server, sock, _make_file)
+
     def communicate(self) -> bool:
+        self.rfile.pace.begin_message()
         # A caller that stops in the middle of a request occupies a thread.
         self.socket.settimeout(self.server.read_timeout_s)
         return super().communicate()
--- a/tests/integrations/test_backend.py
+++ b/tests/integrations/test_backend.py
@@ -21,6 +21,7 @@
 from chiverun.integrations.backend import HttpBackends
 from chiverun.integrations.backend import OutgoingRequest
 from chiverun.integrations.network import AddressMap
+from chiverun.integrations.threadpace import MessageTooCostly
 from tests.naive import IS_NAIVE
 from tests.naive import NaiveBackends
 
@@ -294,6 +295,20 @@
         self.assertTrue(server.connection_ended.wait(10))
         self.assertLess(server.bytes_sent, 32_000_000)
 
+    def test_answer_in_small_pieces_is_given_up(self):
+        """Guards against a server's answer that keeps a thread busy."""
+        pieces = b"1\r\na\r\n" * 10_000
+        server = self._server([(_ENDLESS, _CHUNKED, pieces)])
+        began_at = time.monotonic()
+        end = self._exchange(
+            server.address,
+            deadline=_deadline_in(60),
+            answer_bytes_max=32 * 1024 * 1024,
+        )
+        self.assertIsInstance(end, Incomplete)
+        self.assertIn(MessageTooCostly.__name__, end.detail)
+        self.assertLess(time.monotonic() - began_at, 20)
+
     @params(
         ("id of another", _COMPLETE.replace(b"%(id)s", b"id-9")),
         ("excess", _COMPLETE + _COMPLETE),
