Take no head of two responses for one

The status line of the next response was read as the rest of that line, which is valid HTTP; the merged head said "not run" of a request that had run. The same gave a response the status of another.

A head with a status line in its reason or in a value ends the exchange and the connection without proof of anything (asyncclient); so does one that repeats a field of which a server sends one, the id, the stamp, "not run" or its name. Health checks too.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import re
 from collections.abc import Callable
 
 import h11
@@ -40,6 +41,9 @@
 INTERIM_RESPONSES_MAX = 8
 SKIPPED_RESPONSES_MAX = 4
 FRAMING_FACTOR = 6
+# A head that breaks off within a line takes the first line of the next
+# response for the rest of that line.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -266,6 +270,9 @@
                     return False
             case h11.Response():
                 self._response = event
+                if _is_mixed(event):
+                    self._end_malformed("head of more than one response")
+                    return False
             case h11.Data():
                 return self._add_to_body(event.data)
             case h11.EndOfMessage():
@@ -343,6 +350,13 @@
             self._waiter.set_result(end)
 
 
+def _is_mixed(response: h11.Response) -> bool:
+    """Return whether a head has the status line of a further response."""
+    if _STATUS_LINE.search(response.reason):
+        return True
+    return any(_STATUS_LINE.search(value) for _, value in response.headers)
+
+
 async def connect(
     address: Address,
     *,
--- a/chiverun/platform/headercodec.py
+++ b/chiverun/platform/headercodec.py
@@ -29,6 +29,8 @@
 # A longer pause than any server stays.
 _PAUSE_MAX_S = 86_400.0
 _DEADLINE_MS_MAX = 3_600_000
+# A server sends each of these at most once in a response.
+_SINGLE = frozenset({_REQUEST_ID, _RESPONSE_STAMP, _NOT_RUN, _SERVER_NAME})
 
 
 class PlatformHeaderCodec:
@@ -82,9 +84,16 @@
             pause_s=_parse_pause(values.get(_PAUSE))
             if status == 503
             else None,
+            is_mixed=_is_mixed(headers),
         )
 
 
+def _is_mixed(headers: Headers) -> bool:
+    """Return whether a head has parts of more than one response."""
+    single = [name.lower() for name, _ in headers if name.lower() in _SINGLE]
+    return len(single) > len(set(single))
+
+
 def _parse_deadline_s(text: str | None) -> float | None:
     if text is None or not text.strip().isdigit():
         return None
--- a/chiverun/runtime/headercodec.py
+++ b/chiverun/runtime/headercodec.py
@@ -43,6 +43,8 @@
     together, None if it names no limit; `limit_fault` is a limit that cannot
     be read. `is_leaving` is whether the server says that it is leaving;
     `pause_s` is for how long it wants no requests from this machine.
+    `is_mixed` is whether the head has parts of more than one response, so that
+    nothing in it can be relied on.
     """
 
     request_id: str | None
@@ -56,6 +58,7 @@
     limit_fault: str | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    is_mixed: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -43,6 +43,8 @@
 COLD_CHOICE_VALID_S = COLD_WINDOW_S - 1.0
 END_CHECK_TIMEOUT_S = 0.3
 CONNECT_FAILED = "connect"
+# Of a head with parts of more than one response.
+_SEVERAL = "several responses"
 RESPONSE_BYTES_MAX = 32 * 1024 * 1024
 # A server may close a connection that has been idle for longer just as it is
 # reused, which leaves unknown whether the request ran.
@@ -198,12 +200,13 @@
             row.release(connection, self._loop.time())
         if not isinstance(end, Answered):
             return SendResult(end=end)
-        return SendResult(
-            end=end,
-            metadata=self._header_codec.response_metadata(
-                end.status, list(end.headers)
-            ),
+        metadata = self._header_codec.response_metadata(
+            end.status, list(end.headers)
         )
+        if metadata.is_mixed:
+            connection.abort()
+            return SendResult(end=Mismatched(request_id=_SEVERAL))
+        return SendResult(end=end, metadata=metadata)
 
     async def _exchange(
         self,
@@ -310,6 +313,8 @@
             return SendResult(end=end)
         headers = list(end.headers)
         metadata = self._header_codec.response_metadata(end.status, headers)
+        if metadata.is_mixed:
+            return SendResult(end=Mismatched(request_id=_SEVERAL))
         _update_keep_alive(row, headers)
         is_matched = metadata.is_stamped and metadata.request_id == request_id
         # On a used connection it can be a late response to an earlier one.
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -43,6 +43,11 @@
 
 _COPY = _response(1)
 _SHED_1 = _response(1, status="503 Full", extra="X-Chiverun-Not-Run: full\r\n")
+# In the order in which another server may send it.
+_SHED_UNSTAMPED_1 = (
+    b"HTTP/1.1 503 Full\r\nX-Chiverun-Not-Run: 1\r\nRetry-After: 1\r\n"
+    b"Content-Length: 0\r\nX-Chiverun-Request-Id: r1\r\n\r\n"
+)
 # What the server sends after the second request on a used connection; a
 # number is a pause in seconds. Before it, the connection had request 1.
 _SECOND = {
@@ -156,6 +161,31 @@
                 self.assertEqual(b"body 2", second.end.body)
                 self.assertFalse(any(not conn.reusable for conn in row.idle))
 
+    async def test_copy_that_breaks_off_on_a_used_connection(self) -> None:
+        """Guards against a head of two responses that says "not run".
+
+        A copy of an earlier rejection or failure breaks off at any byte; the
+        next response, of a request that ran, follows at once.
+        """
+        for copy in (_SHED_1, _SHED_UNSTAMPED_1, _response(1, status="500 E")):
+            ends = await asyncio.gather(
+                *(
+                    self._send_after_part(copy[:size])
+                    for size in range(1, len(copy))
+                )
+            )
+            for size, result in enumerate(ends, start=1):
+                with self.subTest(part=copy[:size]):
+                    self._assert_own(result, 2)
+                    status = getattr(result.end, "status", 200)
+                    self.assertEqual(200, status)
+
+    async def _send_after_part(self, part: bytes) -> SendResult:
+        """Return the end of a request whose response follows a part."""
+        row = await self._start([part + _response(2)], [])
+        await self._send(row, 1)
+        return await self._send(row, 2)
+
     async def test_response_without_id_on_a_used_connection(self) -> None:
         """Guards against "not run" from an earlier request's refusal."""
         row = await self._start([_without_id(_SHED_1)], [])
