Take no entry without version and sequence for a server's own

Cause: only the fields that are used were read. `born` stays optional: the examples of an entry are without it.

--- a/chiverun/platform/records.py
+++ b/chiverun/platform/records.py
@@ -80,6 +80,9 @@
 
 
 def _decode_server(name: ServerName, body: Any) -> Server:
+    # Not used here, but an entry without them is not the server's own.
+    values.field(body, "version", str)
+    values.integer(body, "sequence")
     state = values.field(body, "state", str)
     if state not in ("ready", "draining"):
         raise values.InvalidValueError(
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -49,6 +49,22 @@
         """Guards against one invalid entry that affects the valid ones."""
         self.assertIsInstance(decode_record("servers/i-1", data), Unreadable)
 
+    @params(
+        *(
+            (name, value)
+            for name in json.loads(server_entry())
+            if name != "born"
+            for value in (None, [], {})
+        )
+    )
+    def test_entry_without_a_field_is_unreadable(self, name, value) -> None:
+        """Guards against an entry of another writer that names a server."""
+        body = json.loads(server_entry())
+        del body[name]
+        for odd in (body, {**body, name: value}):
+            record = decode_record("servers/i-1", json.dumps(odd).encode())
+            self.assertIsInstance(record, Unreadable)
+
     @params("op/evacuate/z1", "op/evacuate/musanze-a")
     def test_evacuation(self, key) -> None:
         """Guards against an evacuation that is lost for its value."""
