Stop only when all answers have been written

Cause: a connection counted as busy until its response was handed to the transport; the process ended with the rest in its write buffer. It is busy now until that is empty. The stop still ends within the grace period, so what a caller does not read until then is cut as before.

test_response_that_is_being_read_is_not_idle fails without the line (not active) and passes with it.

--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -125,12 +125,13 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or handled."""
+        """Whether a request is being read or handled, or answered."""
         return (
             self._task is not None
             or self._request is not None
             or self._is_reading_head
             or self._turn.is_waiting
+            or self._transport.get_write_buffer_size() > 0
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -204,8 +205,8 @@
         self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close unless a request is being read or handled."""
-        if not self.is_busy and self._transport is not None:
+        """Close unless a request is being read, handled or answered."""
+        if self._transport is not None and not self.is_busy:
             self._transport.close()
 
     def process_next(self) -> bool:
--- a/tests/integrations/test_asyncserver.py
+++ b/tests/integrations/test_asyncserver.py
@@ -14,6 +14,8 @@
 from chiverun.integrations.asyncserver import OutgoingResponse
 
 _TIMEOUT_S = 20.0
+# More than the buffers of two sockets hold.
+_LARGE_BODY = bytes(32 * 1024 * 1024)
 _LIMITS = ClientLimits(
     header_bytes=1024,
     body_bytes=100,
@@ -33,6 +35,8 @@
 
     async def _handle(self, incoming: IncomingRequest) -> OutgoingResponse:
         self.handled_requests.append(incoming)
+        if incoming.target == "/large":
+            return OutgoingResponse(status=200, headers=[], body=_LARGE_BODY)
         if incoming.target == "/fails":
             raise ValueError("test")
         if incoming.target == "/waits":
@@ -250,6 +254,28 @@
                 await asyncio.sleep(0)
             self.assertTrue(await responses)
 
+    async def test_response_that_is_being_read_is_not_idle(self) -> None:
+        """Guards against a stop that cuts off an answer on a slow link."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.transport.pause_reading()
+        writer.write(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+        async with asyncio.timeout(_TIMEOUT_S):
+            while not self.handled_requests:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, self.state.active())
+            for connection in list(self.state.connections):
+                connection.close_if_idle()
+            self.assertEqual(1, self.state.active())
+            writer.transport.resume_reading()
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b"%d" % len(_LARGE_BODY), head)
+            body = await reader.readexactly(len(_LARGE_BODY))
+            self.assertEqual(_LARGE_BODY, body)
+            while self.state.active():
+                await asyncio.sleep(0.01)
+
     async def test_caller_that_does_not_read_gets_no_further_responses(
         self,
     ) -> None:
