Charge no peer for the time in which the process did not run

A turn during which the process was interrupted was charged in full, and the peer that had used least went first.

--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -22,6 +22,8 @@
 
 # What a connection receives at once; its bytes may have to wait.
 READ_BYTES = 64 * 1024
+# A turn that took longer was interrupted: the process did not run.
+CHARGE_MAX_S = 0.003
 
 
 class Reader(Protocol):
@@ -128,7 +130,7 @@
                 events += 1
                 now = time.monotonic()
         finally:
-            turn.account.charge(now - started_at, now)
+            turn.account.charge(min(CHARGE_MAX_S, now - started_at), now)
             self.usage.add(turn.source, now - started_at, events)
         return not has_more
 
