--- a/tests/core/test_timeshare.py
+++ b/tests/core/test_timeshare.py
@@ -41,10 +41,11 @@
         self, step_s, period_s
     ) -> None:
         """Guards against a peer that paces its bytes below every limit."""
-        most = OWN_SHARE + (DEBT_MAX_S + step_s) / _DURATION_S
+        share = OWN_SHARE
         if step_s > DEBT_LIMIT_S:
-            # Taken for a pause of the process.
-            most = 1.0
+            # It waits until the largest debt is forgiven, no longer.
+            share *= step_s / (DEBT_LIMIT_S - DEBT_MAX_S)
+        most = share + (DEBT_MAX_S + step_s) / _DURATION_S
         self.assertLessEqual(_use(step_s, period_s, messages=False), most)
 
     def test_messages_never_wait(self) -> None:
