--- a/chiverun/core/catalog.py
+++ b/chiverun/core/catalog.py
@@ -10,8 +10,10 @@
 
 import msgspec
 
+from chiverun.core.ids import AccountName
 from chiverun.core.ids import Address
 from chiverun.core.ids import InstanceId
+from chiverun.core.ids import KeyDigest
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
@@ -38,9 +40,10 @@
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Handling of the requests of one host and path prefix.
 
-    `homes` are the regions that may serve the route; empty means all. A route
-    with a `fault` cannot be served as the operators want it: its requests are
-    rejected until a readable one is in force.
+    `homes` are the regions that may serve the route; empty means all. A
+    `public` route needs no key of a client account. A route with a `fault`
+    cannot be served as the operators want it: its requests are rejected until
+    a readable one is in force.
     """
 
     name: str
@@ -54,6 +57,7 @@
     priority: int
     sticky: bool
     homes: tuple[RegionName, ...]
+    public: bool = False
     fault: str | None = None
 
 
@@ -80,6 +84,24 @@
     idle_timeout_s: float = 15.0
 
 
+class ClientAccount(msgspec.Struct, frozen=True, kw_only=True):
+    """A client account, whose requests carry one of its keys.
+
+    `priority` goes before that of the route if it is set. `per_s` is the rate
+    limit over all instances together, None without one. `homes` are the
+    regions that may serve the account; empty means all. Requests of an account
+    with a `fault` are rejected until a readable one is in force.
+    """
+
+    name: AccountName
+    key_digests: tuple[KeyDigest, ...]
+    priority: int | None = None
+    per_s: float | None = None
+    burst: float = 0.0
+    homes: tuple[RegionName, ...] = ()
+    fault: str | None = None
+
+
 class StateFault(msgspec.Struct, frozen=True, kw_only=True):
     """A part of a desired state that this version cannot read."""
 
@@ -90,13 +112,15 @@
 class DesiredState(msgspec.Struct, frozen=True, kw_only=True, tag="state"):
     """The operators' complete configuration.
 
-    `faults` are its unreadable parts; the rest is in force.
+    `accounts` is None while requests need no key. `faults` are its unreadable
+    parts; the rest is in force.
     """
 
     version: StateVersion
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
     limits: ClientLimits
+    accounts: tuple[ClientAccount, ...] | None = None
     faults: tuple[StateFault, ...] = ()
 
 
--- a/chiverun/core/edgesettings.py
+++ b/chiverun/core/edgesettings.py
@@ -14,7 +14,9 @@
     """Limits set by the platform.
 
     A cold server receives at most ``cold_per_s * cold_excess + cold_extra``
-    requests per second, with `cold_per_s` as set for its service.
+    requests per second, with `cold_per_s` as set for its service. In any
+    `quota_window_s` W, a client account runs at most ``(per_s * W + burst) *
+    (1 + quota_excess) + quota_extra`` requests over all instances.
     """
 
     stop_grace_s: float = 6.0
@@ -23,6 +25,13 @@
     retry_window_s: float = 10.0
     cold_excess: float = 1.5
     cold_extra: float = 5.0
+    # Time for which keys are trusted without news, None without a limit.
+    key_trust_s: float | None = None
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_extra: float = 20.0
+    # Part of a region's requests that may change region within 2 s.
+    shift_max: float = 0.15
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/core/ids.py
+++ b/chiverun/core/ids.py
@@ -13,5 +13,9 @@
 TicketNumber = NewType("TicketNumber", int)
 SeatIndex = NewType("SeatIndex", int)
 IdempotencyKey = NewType("IdempotencyKey", str)
+# Name of a client account that operators declare.
+AccountName = NewType("AccountName", str)
+# Digest of an API key; plain keys stay in the store.
+KeyDigest = NewType("KeyDigest", bytes)
 # "host:port" with an IP address as the host.
 Address = NewType("Address", str)
--- /dev/null
+++ b/chiverun/core/quota.py
@@ -0,0 +1,43 @@
+"""Outcome of checking a request against the quota of its client account."""
+
+import dataclasses
+from typing import Protocol
+
+from chiverun.core.catalog import ClientAccount
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Admitted:
+    """The request may run; it counts until it is given back."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Exceeded:
+    """The account is over its limit; `wait_s` is when it may be below."""
+
+    wait_s: float
+
+
+class AccountQuotas(Protocol):
+    """Admits requests within the limits of client accounts."""
+
+    async def admit(
+        self, account: ClientAccount, deadline: float
+    ) -> Admitted | Exceeded:
+        """Admit a request; `deadline` is in event loop time."""
+
+    def give_back(self, account: ClientAccount) -> None:
+        """Return what an admitted request that did not run has used."""
+
+
+class Unlimited:
+    """Quotas that no request exceeds."""
+
+    async def admit(
+        self, account: ClientAccount, deadline: float
+    ) -> Admitted | Exceeded:
+        """Admit every request."""
+        return Admitted()
+
+    def give_back(self, account: ClientAccount) -> None:
+        """Do nothing."""
--- a/chiverun/core/serverlimit.py
+++ b/chiverun/core/serverlimit.py
@@ -123,7 +123,7 @@
         return changed
 
 
-class Quota:
+class LimitBucket:
     """This machine's share of one server's limit.
 
     A bucket that starts empty, so that a restart brings no further requests
--- a/chiverun/core/timeshare.py
+++ b/chiverun/core/timeshare.py
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(kw_only=True)
-class Account:
+class TimeDebt:
     """Time that a peer has used lately beyond its own share.
 
     `message_s` is the time used since its last complete message.
--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -14,8 +14,8 @@
 
 from chiverun.core.loopusage import LoopUsage
 from chiverun.core.loopusage import Source
-from chiverun.core.timeshare import Account
 from chiverun.core.timeshare import Pace
+from chiverun.core.timeshare import TimeDebt
 from chiverun.core.timeshare import TURN_S
 
 _LOG = logbook.Logger("reads")
@@ -50,7 +50,7 @@
     ) -> None:
         self.source = source
         self.reader = reader
-        self.account = Account()
+        self.debt = TimeDebt()
         self._turns = turns
         self._has_waited = False
 
@@ -64,7 +64,7 @@
         if self.is_waiting:
             return
         now = time.monotonic()
-        if not self.account.must_wait(now) and self._turns.process(
+        if not self.debt.must_wait(now) and self._turns.process(
             self, now + TURN_S
         ):
             return
@@ -73,7 +73,7 @@
 
     def complete_message(self) -> None:
         """Note that the peer has sent a complete message."""
-        self.account.complete_message()
+        self.debt.complete_message()
 
     def close(self) -> None:
         """Forget what waits."""
@@ -88,7 +88,7 @@
             extra={
                 "part": self.source.part.value,
                 "peer": self.source.peer,
-                "debt_ms": round(1000 * self.account.debt_at(now), 1),
+                "debt_ms": round(1000 * self.debt.debt_at(now), 1),
                 "waiting": self._turns.waiting,
             },
         )
@@ -130,7 +130,7 @@
                 events += 1
                 now = time.monotonic()
         finally:
-            turn.account.charge(min(CHARGE_MAX_S, now - started_at), now)
+            turn.debt.charge(min(CHARGE_MAX_S, now - started_at), now)
             self.usage.add(turn.source, now - started_at, events)
         return not has_more
 
@@ -162,7 +162,7 @@
     def _run_one(self, until: float) -> None:
         # The one that has used least for its message, so that a sound peer
         # does not wait behind endless ones.
-        turn = min(self._waiting, key=lambda row: row.account.message_s)
+        turn = min(self._waiting, key=lambda row: row.debt.message_s)
         del self._waiting[turn]
         try:
             is_done = self.process(turn, until)
--- a/chiverun/integrations/threadpace.py
+++ b/chiverun/integrations/threadpace.py
@@ -8,8 +8,8 @@
 import threading
 import time
 
-from chiverun.core.timeshare import Account
 from chiverun.core.timeshare import Pace
+from chiverun.core.timeshare import TimeDebt
 
 # Processor time for the bytes of one message, in seconds.
 MESSAGE_MAX_S = 0.25
@@ -46,16 +46,16 @@
 
     def __init__(self, *, pace: ThreadPace = _PROCESS_PACE) -> None:
         self._pace = pace
-        self._account = Account()
+        self._debt = TimeDebt()
         self._marked_at = time.thread_time()
 
     def begin_message(self) -> None:
         """Begin a message; what came before is complete."""
-        self._account.complete_message()
+        self._debt.complete_message()
         self._marked_at = time.thread_time()
 
     def before_read(self, wait_max_s: float) -> None:
-        """Account for the bytes of the last read; wait if they were costly.
+        """TimeDebt for the bytes of the last read; wait if they were costly.
 
         Raises
         ------
@@ -63,11 +63,11 @@
         """
         used_s = time.thread_time() - self._marked_at
         now = time.monotonic()
-        self._account.charge(used_s, now)
-        if self._account.message_s > MESSAGE_MAX_S:
+        self._debt.charge(used_s, now)
+        if self._debt.message_s > MESSAGE_MAX_S:
             raise MessageTooCostly(
                 f"bytes of a message took over {MESSAGE_MAX_S:g} s to process"
             )
-        if self._account.must_wait(now):
+        if self._debt.must_wait(now):
             time.sleep(min(wait_max_s, self._pace.delay(used_s)))
         self._marked_at = time.thread_time()
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from chiverun.core.accounts import AccountTable
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.bytebudget import MEMORY_FRACTION
 from chiverun.core.catalog import DesiredState
@@ -20,6 +21,7 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import ZoneName
+from chiverun.core.quota import Unlimited
 from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import Handler
 from chiverun.integrations.asyncserver import IncomingRequest
@@ -137,6 +139,7 @@
             stop_progress=self._stop_progress,
             suspects=suspects,
             on_end=self._suspects.record_end,
+            quotas=Unlimited(),
         )
         self._cold_checks = ColdChecks(
             table=self._servers,
@@ -330,6 +333,7 @@
         if routes is None or routes.version != state.version:
             routes = RouteTable.of(state)
             self._steering.routes = routes
+            self._steering.accounts = AccountTable(state.accounts)
             self._entry.limits = routes.limits
             _LOG.info(
                 "desired state in force", extra={"version": state.version}
--- a/chiverun/runtime/headercodec.py
+++ b/chiverun/runtime/headercodec.py
@@ -18,6 +18,8 @@
     request_id: str
     affinity_key: str
     deadline_s: float | None
+    # Of a client account; never logged.
+    api_key: str | None = dataclasses.field(default=None, repr=False)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/runtime/quotas.py
+++ b/chiverun/runtime/limitshares.py
@@ -21,7 +21,7 @@
 Weights = Mapping[InstanceId, float]
 
 
-class Quotas:
+class LimitShares:
     """Decides whether this machine may send to servers that name a limit."""
 
     def __init__(
@@ -47,13 +47,13 @@
         per_s = row.limit.in_force(now)
         if per_s is None:
             return 0.0
-        row.quota.set_rate(per_s * self._share(row, per_s), now)
-        return row.quota.wait_s(now)
+        row.bucket.set_rate(per_s * self._share(row, per_s), now)
+        return row.bucket.wait_s(now)
 
     def take(self, row: ServerRow, now: float) -> None:
         """Count a request that is sent to the server."""
         if row.limit.in_force(now) is not None:
-            row.quota.take()
+            row.bucket.take()
 
     def _share(self, row: ServerRow, per_s: float) -> float:
         version = (self._table.generation, len(self._fleet()))
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -21,7 +21,7 @@
 from chiverun.core.placement import choose_place
 from chiverun.core.placement import rendezvous
 from chiverun.core.placement import zone_first
-from chiverun.runtime.quotas import Quotas
+from chiverun.runtime.limitshares import LimitShares
 from chiverun.runtime.servertable import CONNECTIONS_FRACTION
 from chiverun.runtime.servertable import ServerRow
 from chiverun.runtime.servertable import ServerTable
@@ -107,7 +107,7 @@
         self._regions = regions
         self._bounds = bounds
         self._fleet = fleet
-        self._quotas = Quotas(
+        self._limit_shares = LimitShares(
             table=table, machine=machine, regions=regions, fleet=fleet
         )
         self._generation = -1
@@ -282,14 +282,14 @@
 
     def _limit_wait_s(self, row: ServerRow, now: float) -> float:
         """Return how long the server itself wants nothing more."""
-        return max(self._quotas.wait_s(row, now), row.paused_until - now)
+        return max(self._limit_shares.wait_s(row, now), row.paused_until - now)
 
     def _first_permitted(
         self, rows: list[ServerRow], spec: ServiceSpec | None, now: float
     ) -> ServerRow | None:
         for row in rows:
             if self._may_send(row, spec, now):
-                self._quotas.take(row, now)
+                self._limit_shares.take(row, now)
                 row.cold.record(now)
                 return row
         return None
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -20,8 +20,8 @@
 from chiverun.core.limits import WindowCount
 from chiverun.core.loads import LoadEstimate
 from chiverun.core.replica import Replica
+from chiverun.core.serverlimit import LimitBucket
 from chiverun.core.serverlimit import NamedLimit
-from chiverun.core.serverlimit import Quota
 from chiverun.integrations.asyncclient import ClientConnection
 
 _LOG = logbook.Logger("servers")
@@ -49,7 +49,7 @@
     cold: ColdLimit
     load: LoadEstimate = dataclasses.field(default_factory=LoadEstimate)
     limit: NamedLimit = dataclasses.field(default_factory=NamedLimit)
-    quota: Quota = dataclasses.field(default_factory=Quota)
+    bucket: LimitBucket = dataclasses.field(default_factory=LimitBucket)
     recent_sends: WindowCount = dataclasses.field(
         default_factory=lambda: WindowCount(window_s=RECENT_SENDS_WINDOW_S)
     )
@@ -229,7 +229,7 @@
     new.cold = old.cold
     if _is_same_process(old.server, new.server):
         new.limit = old.limit
-        new.quota = old.quota
+        new.bucket = old.bucket
         new.cold_until = old.cold_until
         new.leaving_since = old.leaving_since
         new.paused_until = old.paused_until
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -8,6 +8,11 @@
 
 import logbook
 
+from chiverun.core.accounts import AccountTable
+from chiverun.core.accounts import KnownKey
+from chiverun.core.accounts import UndecidedKey
+from chiverun.core.accounts import UnknownKey
+from chiverun.core.catalog import ClientAccount
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import Route
 from chiverun.core.catalog import RouteTable
@@ -17,6 +22,8 @@
 from chiverun.core.exchange import CODE_HEADER
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
+from chiverun.core.quota import AccountQuotas
+from chiverun.core.quota import Exceeded
 from chiverun.core.sendbudget import BudgetBounds
 from chiverun.core.sendbudget import SendBudget
 from chiverun.core.splits import SplitTable
@@ -71,6 +78,8 @@
     service: ServiceName
     placement: Placement
     deadline: float
+    # None on a public route, and while no accounts are declared.
+    account: ClientAccount | None = None
     # Number of sends that may have run on a server.
     runs: int = 0
     sends: int = 0
@@ -118,8 +127,11 @@
         stop_progress: Callable[[], StopProgress | None],
         suspects: SuspectTable,
         on_end: Callable[[Fingerprint, EndedServer, str], None],
+        quotas: AccountQuotas,
     ) -> None:
         self.routes: RouteTable | None = None
+        self.accounts = AccountTable(None)
+        self._quotas = quotas
         self._header_codec = header_codec
         self._selector = selector
         self._sender = sender
@@ -153,13 +165,22 @@
             return OutgoingResponse(status=404, headers=[])
         if route.fault is not None:
             return self._reject_unreadable(metadata, route)
+        account = None
+        if self.accounts.is_required and not route.public:
+            match self.accounts.owner(metadata.api_key):
+                case KnownKey(account=account):
+                    pass
+                case UnknownKey():
+                    return self._refuse_key(metadata, route)
+                case UndecidedKey(reason=reason):
+                    return self._reject_undecided(metadata, route, reason)
         if self._may_outlast(route):
             return self._reject(metadata, "stopping")
-        request = self._new_request(incoming, metadata, route)
+        request = self._new_request(incoming, metadata, route, account)
         if self._is_suspect(request):
             return self._refuse_suspect(request)
         try:
-            return await self._serve(request)
+            return await self._serve_within_quota(request)
         except asyncio.CancelledError:
             self._log(metadata, 0, "client left", route=route.name)
             raise
@@ -172,6 +193,7 @@
         incoming: IncomingRequest,
         metadata: RequestMetadata,
         route: Route,
+        account: ClientAccount | None,
     ) -> Request:
         service = self._splits.choose(
             f"{route.host}{route.prefix}", route.parts
@@ -194,8 +216,23 @@
                 self._latencies.run_s(route),
             ),
             deadline=incoming.arrived_at + limit_s,
+            account=account,
         )
 
+    async def _serve_within_quota(self, request: Request) -> OutgoingResponse:
+        """Serve a request if its account is within its limit."""
+        account = request.account
+        if account is None or account.per_s is None:
+            return await self._serve(request)
+        outcome = await self._quotas.admit(account, request.deadline)
+        if isinstance(outcome, Exceeded):
+            return self._refuse_over_quota(request, outcome)
+        try:
+            return await self._serve(request)
+        finally:
+            if request.runs == 0:
+                self._quotas.give_back(account)
+
     async def _serve(self, request: Request) -> OutgoingResponse:
         if not self._start_send(request):
             reason = _refusal_reason(request.refusal)
@@ -406,6 +443,49 @@
             status=503, headers=[("Retry-After", f"{retry_s:.3g}")]
         )
 
+    def _refuse_key(
+        self, metadata: RequestMetadata, route: Route
+    ) -> OutgoingResponse:
+        """Return the response to a request without a valid key."""
+        self._log(metadata, 401, "unknown key", route=route.name)
+        self._metrics.record_request(401, 0.0)
+        code = str(int(ResultCode.API_KEY_UNKNOWN))
+        return OutgoingResponse(
+            status=401,
+            headers=[("WWW-Authenticate", "ApiKey"), (CODE_HEADER, code)],
+        )
+
+    def _reject_undecided(
+        self, metadata: RequestMetadata, route: Route, reason: str
+    ) -> OutgoingResponse:
+        """Return the response to a request whose key cannot be judged."""
+        response = self._reject(metadata, f"key undecided: {reason}")
+        code = str(int(ResultCode.API_KEY_UNDECIDED))
+        return dataclasses.replace(
+            response, headers=[*response.headers, (CODE_HEADER, code)]
+        )
+
+    def _refuse_over_quota(
+        self, request: Request, outcome: Exceeded
+    ) -> OutgoingResponse:
+        """Return the response to a request over its account's limit."""
+        retry_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_S, outcome.wait_s))
+        self._log(
+            request.metadata,
+            429,
+            "over quota",
+            account=request.account.name,
+            route=request.route.name,
+            retry_s=retry_s,
+            **self._timing(request),
+        )
+        self._metrics.record_request(429, 0.0)
+        code = str(int(ResultCode.QUOTA_EXCEEDED))
+        return OutgoingResponse(
+            status=429,
+            headers=[("Retry-After", f"{retry_s:.3g}"), (CODE_HEADER, code)],
+        )
+
     def _is_suspect(self, request: Request) -> bool:
         """Return whether a request may be sent to no further server."""
         now = self._loop.time()
--- a/tests/core/test_serverlimit.py
+++ b/tests/core/test_serverlimit.py
@@ -5,9 +5,9 @@
 from nose2.tools import params
 
 from chiverun.core.serverlimit import LIMIT_MEMORY_S
+from chiverun.core.serverlimit import LimitBucket
 from chiverun.core.serverlimit import LimitNews
 from chiverun.core.serverlimit import NamedLimit
-from chiverun.core.serverlimit import Quota
 from chiverun.core.serverlimit import sender_shares
 
 
@@ -115,43 +115,45 @@
 
 
 class QuotaTest(unittest.TestCase):
-    def _admitted(self, quota: Quota, since_s: float, until_s: float) -> int:
-        """Send whenever the quota allows it; return the number of sends."""
+    def _admitted(
+        self, bucket: LimitBucket, since_s: float, until_s: float
+    ) -> int:
+        """Send whenever the bucket allows it; return the number of sends."""
         count = 0
         for tick in range(int(100 * since_s), int(100 * until_s)):
             now = tick / 100
-            while quota.wait_s(now) <= 0:
-                quota.take()
+            while bucket.wait_s(now) <= 0:
+                bucket.take()
                 count += 1
         return count
 
     @params(0.1, 0.6, 2.0, 7.5)
     def test_rate_is_kept_and_used(self, per_s) -> None:
         """Guards against a share that is exceeded or left unused."""
-        quota = Quota()
-        quota.set_rate(per_s, 0.0)
-        count = self._admitted(quota, 0.0, 40.0)
+        bucket = LimitBucket()
+        bucket.set_rate(per_s, 0.0)
+        count = self._admitted(bucket, 0.0, 40.0)
         self.assertLessEqual(count, 40 * per_s)
         self.assertGreaterEqual(count, 40 * per_s - 1)
 
     @params(0.6, 2.0, 7.5)
     def test_pause_or_restart_brings_no_further_requests(self, per_s) -> None:
         """Guards against a flood from a process that was away."""
-        paused = Quota()
+        paused = LimitBucket()
         paused.set_rate(per_s, 0.0)
         burst = self._admitted(paused, 30.0, 30.01)
         self.assertLessEqual(burst, 1 + 0.5 * per_s)
-        restarted = Quota()
+        restarted = LimitBucket()
         restarted.set_rate(per_s, 30.0)
         self.assertEqual(0, self._admitted(restarted, 30.0, 30.01))
 
     def test_wait_is_when_the_next_may_be_sent(self) -> None:
         """Guards against a Retry-After at which nothing may be sent."""
-        quota = Quota()
-        quota.set_rate(0.5, 10.0)
-        wait_s = quota.wait_s(10.5)
+        bucket = LimitBucket()
+        bucket.set_rate(0.5, 10.0)
+        wait_s = bucket.wait_s(10.5)
         self.assertAlmostEqual(1.5, wait_s)
-        self.assertEqual(0.0, quota.wait_s(10.5 + wait_s))
+        self.assertEqual(0.0, bucket.wait_s(10.5 + wait_s))
 
 
 class SenderSharesTest(unittest.TestCase):
--- a/tests/core/test_timeshare.py
+++ b/tests/core/test_timeshare.py
@@ -4,11 +4,11 @@
 
 from nose2.tools import params
 
-from chiverun.core.timeshare import Account
 from chiverun.core.timeshare import DEBT_LIMIT_S
 from chiverun.core.timeshare import DEBT_MAX_S
 from chiverun.core.timeshare import OWN_SHARE
 from chiverun.core.timeshare import Pace
+from chiverun.core.timeshare import TimeDebt
 from chiverun.core.timeshare import TURN_S
 from chiverun.core.timeshare import WAITING_SHARE
 
@@ -17,16 +17,16 @@
 
 def _use(step_s: float, period_s: float, *, messages: bool) -> float:
     """Return the part of the time that a peer gets without waiting."""
-    account = Account()
+    debt = TimeDebt()
     used_s = 0.0
     for number in range(round(_DURATION_S / period_s)):
         now = number * period_s
-        if account.must_wait(now):
+        if debt.must_wait(now):
             continue
-        account.charge(step_s, now)
+        debt.charge(step_s, now)
         used_s += step_s
         if messages:
-            account.complete_message()
+            debt.complete_message()
     return used_s / _DURATION_S
 
 
@@ -64,10 +64,10 @@
 
     def test_paused_process_blames_no_peer_for_long(self) -> None:
         """Guards against a peer that waits for its turn after a pause."""
-        account = Account()
-        account.charge(60.0, 60.0)
-        self.assertTrue(account.must_wait(60.0))
-        self.assertFalse(account.must_wait(62.0))
+        debt = TimeDebt()
+        debt.charge(60.0, 60.0)
+        self.assertTrue(debt.must_wait(60.0))
+        self.assertFalse(debt.must_wait(62.0))
 
 
 class PaceTest(unittest.TestCase):
--- a/tests/integrations/test_asyncserver.py
+++ b/tests/integrations/test_asyncserver.py
@@ -6,7 +6,7 @@
 
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.catalog import ClientLimits
-from chiverun.core.timeshare import Account
+from chiverun.core.timeshare import TimeDebt
 from chiverun.integrations import asyncserver
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import listen
@@ -241,7 +241,7 @@
         """Guards against a stop that cuts off a request that was read."""
         reader, writer = await asyncio.open_connection(*self.address)
         self.addCleanup(writer.close)
-        with mock.patch.object(Account, "must_wait", return_value=True):
+        with mock.patch.object(TimeDebt, "must_wait", return_value=True):
             writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
             # Idle until its first byte arrives.
             while not self.state.active():
--- a/tests/runtime/test_serverlimit.py
+++ b/tests/runtime/test_serverlimit.py
@@ -6,7 +6,7 @@
 from nose2.tools import params
 
 from chiverun.runtime.limitexchange import REPEAT_PERIOD_S
-from chiverun.runtime.quotas import Quotas
+from chiverun.runtime.limitshares import LimitShares
 from tests.runtime.limitedfleet import LimitedFleet
 from tests.runtime.limitedfleet import MESSAGE_S
 from tests.runtime.limitedfleet import Size
@@ -136,7 +136,7 @@
     ) -> None:
         """Shows that a limit over all machines needs shares of it."""
         with unittest.mock.patch.object(
-            Quotas, "_compute_share", lambda *_: 1.0
+            LimitShares, "_compute_share", lambda *_: 1.0
         ):
             fleet = LimitedFleet(size, seed=1)
             fleet.run(_END_S)
--- a/tests/runtime/test_servertable.py
+++ b/tests/runtime/test_servertable.py
@@ -58,7 +58,7 @@
         self._sync(_SERVER, 10.0)
         row = self.table.rows["s1"]
         row.limit.apply(5.0, sent_at=10.0, now=10.0)
-        row.quota.set_rate(1.0, 10.0)
+        row.bucket.set_rate(1.0, 10.0)
         self._sync(None, 10.5)
         self.assertEqual({}, self.table.rows)
         now = 10.0 + away_s
--- a/tests/runtime/test_steering.py
+++ b/tests/runtime/test_steering.py
@@ -14,6 +14,7 @@
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import Shed
 from chiverun.core.exchange import ShedReason
+from chiverun.core.quota import Unlimited
 from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.platform.headercodec import PlatformHeaderCodec
@@ -122,6 +123,7 @@
             stop_progress=lambda: progress[-1] if progress else None,
             suspects=SuspectTable(),
             on_end=lambda fingerprint, server, request_id: None,
+            quotas=Unlimited(),
         )
         steering.routes = RouteTable(
             version=1,
