--- a/chiverun/runtime/edgemetrics.py
+++ b/chiverun/runtime/edgemetrics.py
@@ -2,17 +2,16 @@
 
 import collections
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
-from prometheus_client import CollectorRegistry
-from prometheus_client import generate_latest
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
 from chiverun.core.loopusage import LoopPart
 from chiverun.core.loopusage import Usage
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import OutgoingResponse
+from chiverun.integrations.exposition import CONTENT_TYPE
+from chiverun.integrations.exposition import exposition
 
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 LATENCY_BUCKETS_S = (
     0.025,
     0.05,
@@ -35,9 +34,8 @@
     """Metric instruments of an edge instance and their Prometheus endpoint."""
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry)
-        provider = MeterProvider([reader], shutdown_on_exit=False)
+        self._reader = InMemoryMetricReader()
+        provider = MeterProvider([self._reader], shutdown_on_exit=False)
         meter = provider.get_meter("chiverun")
         self._requests = meter.create_counter("chiverun.requests")
         self._latency = meter.create_histogram(
@@ -92,5 +90,5 @@
         return OutgoingResponse(
             status=200,
             headers=[("Content-Type", CONTENT_TYPE)],
-            body=generate_latest(self._registry),
+            body=exposition(self._reader.get_metrics_data()),
         )
