Take no number outside HTTP's statuses for an answer

Cause: the readers of responses left the check of the status to their libraries. 000 to 099 were refused by these, as the tests now show for both readers and end to end, but 600 to 999 reached the client as an answer.

Change: core.exchange.is_final_status decides for the edge's client and the product's; any other number ends the exchange as an incomplete response.

--- a/chiverun/core/exchange.py
+++ b/chiverun/core/exchange.py
@@ -12,6 +12,19 @@
 # Result code of a response to a caller or a peer.
 CODE_HEADER = "X-Chiverun-Code"
 
+# Statuses that HTTP defines (RFC 9110, section 15).
+
+STATUS_FINAL_MIN = 200
+STATUS_MAX = 599
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a status is that of a final response.
+
+    A response with any other number says nothing about its request.
+    """
+    return STATUS_FINAL_MIN <= status <= STATUS_MAX
+
 
 class ShedReason(enum.Enum):
     """Reason why a backend server rejected a request without running it."""
--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -15,6 +15,7 @@
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Incomplete
+from chiverun.core.exchange import is_final_status
 from chiverun.core.exchange import Mismatched
 from chiverun.core.exchange import NotSent
 from chiverun.core.exchange import Reset
@@ -270,6 +271,9 @@
                     return False
             case h11.Response():
                 self._response = event
+                if not is_final_status(event.status_code):
+                    self._end_malformed(f"status {event.status_code}")
+                    return False
                 if _is_mixed(event):
                     self._end_malformed("head of more than one response")
                     return False
--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -23,6 +23,7 @@
 from chiverun.core.exchange import EXCHANGE_HEADER
 from chiverun.core.exchange import ExchangeEnd
 from chiverun.core.exchange import Incomplete
+from chiverun.core.exchange import is_final_status
 from chiverun.core.exchange import Mismatched
 from chiverun.core.exchange import NotSent
 from chiverun.core.exchange import PeerRefused
@@ -219,7 +220,7 @@
     A body that is delimited by the end of the connection is rejected,
     because a truncated one looks complete.
     """
-    if resp.status < 200:
+    if not is_final_status(resp.status):
         return f"status {resp.status} is not final"
     codings = [v.lower() for v in resp.headers.getlist("Transfer-Encoding")]
     lengths = set(resp.headers.getlist("Content-Length"))
--- a/tests/adapter/test_edge.py
+++ b/tests/adapter/test_edge.py
@@ -153,6 +153,13 @@
             b"Content-Encoding: gzip\r\nX-Chiverun-Request-Id: ID\r\n"
             b"X-Chiverun-Response-Stamp: s\r\n\r\n",
             b"",
+            # Numbers that are no status.
+            *(
+                b"HTTP/1.1 " + status + b" No\r\nContent-Length: 0\r\n"
+                b"X-Chiverun-Request-Id: ID\r\n"
+                b"X-Chiverun-Response-Stamp: s\r\n\r\n"
+                for status in (b"000", b"099", b"600", b"999")
+            ),
         ]
         for i, answer in enumerate(bad):
             for upstream in self.upstreams:
--- a/tests/integrations/test_asyncclient.py
+++ b/tests/integrations/test_asyncclient.py
@@ -89,6 +89,19 @@
 }
 
 
+# Not statuses by HTTP's semantics (RFC 9110, section 15).
+_INVALID_STATUSES = (b"000", b"001", b"099", b"600", b"999")
+for _status in _INVALID_STATUSES:
+    _answer = _MATCHING_RESPONSE.replace(b"200", _status)
+    _CASES[f"status {_status.decode()}"] = ([_answer], Incomplete, False)
+    _interim = b"HTTP/1.1 " + _status + b" Early Hints\r\n\r\n"
+    _CASES[f"interim status {_status.decode()}"] = (
+        [_interim + _MATCHING_RESPONSE],
+        Incomplete,
+        False,
+    )
+
+
 # What a server sends without end, after a first part.
 _ENDLESS = {
     "head": (_MATCHING_HEAD, b"X: " + b"a" * 1000 + b"\r\n"),
--- a/tests/integrations/test_backend.py
+++ b/tests/integrations/test_backend.py
@@ -223,6 +223,13 @@
             b"HTTP/1.1 103 Early Hints\r\n\r\n" + _COMPLETE,
             Incomplete,
         ),
+        (
+            "status 000",
+            _COMPLETE.replace(b"200", b"000"),
+            Incomplete | Reset,
+        ),
+        ("status 600", _COMPLETE.replace(b"200", b"600"), Incomplete | Reset),
+        ("status 999", _COMPLETE.replace(b"200", b"999"), Incomplete | Reset),
         (
             "id of another",
             _OK + b"X-Request-Id: id-9\r\nContent-Length: 2\r\n\r\nok",
