Serve client accounts: keys, names, homes, revocation

Cause: a desired state with client accounts was served as if it had none.

Change: accounts are decoded to digests of their keys; each request is looked up once, and again before each further send; the account's name replaces the key; homes of route and account both bind. An instance that is out of touch answers 503 to keys that it does not know, and trusts known ones unless the platform bounds that time. Invalid accounts affect themselves only.

Result: 50 tests of the four modules pass, one of them with a real process.

--- a/chiverun/core/accounts.py
+++ b/chiverun/core/accounts.py
@@ -8,7 +8,10 @@
 from collections.abc import Collection
 
 from chiverun.core.catalog import ClientAccount
+from chiverun.core.catalog import DesiredState
+from chiverun.core.catalog import StateFault
 from chiverun.core.ids import KeyDigest
+from chiverun.core.ids import RegionName
 
 # Long enough that no two keys have the same digest.
 DIGEST_BYTES = 16
@@ -53,6 +56,15 @@
 
     def __init__(self, accounts: Collection[ClientAccount] | None) -> None:
         self.is_required = accounts is not None
+        # An account whose keys are not known may be the owner of any key.
+        self._keyless_fault = next(
+            (
+                account.fault
+                for account in accounts or ()
+                if account.fault is not None and not account.key_digests
+            ),
+            None,
+        )
         self._by_digest: dict[KeyDigest, ClientAccount] = {
             digest: account
             for account in accounts or ()
@@ -64,8 +76,37 @@
         if key is None:
             return UnknownKey()
         account = self._by_digest.get(digest_of(key))
+        if account is None and self._keyless_fault is not None:
+            return UndecidedKey(reason=self._keyless_fault)
         if account is None:
             return UnknownKey()
         if account.fault is not None:
             return UndecidedKey(reason=account.fault)
         return KnownKey(account=account)
+
+
+def unknown_homes(
+    state: DesiredState, regions: Collection[RegionName]
+) -> list[StateFault]:
+    """Return the home regions that do not exist.
+
+    They serve nothing, and the other homes stay in force.
+    """
+    rows = [
+        (f"route {route.name!r} of {route.host}", route.homes)
+        for route in state.routes
+    ]
+    rows += [
+        (f"account {account.name!r}", account.homes)
+        for account in state.accounts or ()
+    ]
+    return [
+        StateFault(
+            place=place,
+            reason=f"home {home!r} is not valid; expected one of "
+            f"{', '.join(sorted(regions))}",
+        )
+        for place, homes in rows
+        for home in homes
+        if home not in regions
+    ]
--- a/chiverun/platform/headercodec.py
+++ b/chiverun/platform/headercodec.py
@@ -6,6 +6,7 @@
 from chiverun.core.ids import ServerName
 from chiverun.integrations.asyncserver import Headers
 from chiverun.integrations.asyncserver import IncomingRequest
+from chiverun.runtime.headercodec import CallerIdentity
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
 from chiverun.runtime.headercodec import ServerLoad
@@ -19,6 +20,8 @@
 _RESPONSE_STAMP = "x-chiverun-response-stamp"
 _NOT_RUN = "x-chiverun-not-run"
 _LOAD = "x-chiverun-server-load"
+_API_KEY = "api-key"
+_ACCOUNT = "x-chiverun-tenant"
 _SERVER_NAME = "x-chiverun-instance-id"
 _COLD_MS = "x-chiverun-cold-ms"
 # Requests a second, from all machines together.
@@ -42,22 +45,34 @@
             request_id=request.header(_REQUEST_ID) or "",
             affinity_key=request.header(_AFFINITY_KEY) or "",
             deadline_s=_parse_deadline_s(request.header(_DEADLINE_MS)),
+            api_key=_single_value(request.headers, _API_KEY),
         )
 
     def request_headers(
-        self, headers: Headers, server: Server, remaining_s: float
+        self,
+        headers: Headers,
+        server: Server,
+        remaining_s: float,
+        caller: CallerIdentity | None = None,
     ) -> Headers:
         """Return the headers to forward to a server.
 
-        The client's deadline and expected server are replaced.
+        The client's deadline and expected server are replaced. While client
+        accounts are declared, the key is removed, and so is an account that
+        the client claims to be.
         """
+        own = {_DEADLINE_MS, _EXPECTED_SERVER}
+        account = []
+        if caller is not None:
+            own |= {_API_KEY, _ACCOUNT}
+            if caller.account is not None:
+                account = [(_ACCOUNT, caller.account)]
         kept = [
-            (name, value)
-            for name, value in headers
-            if name.lower() not in (_DEADLINE_MS, _EXPECTED_SERVER)
+            (name, value) for name, value in headers if name.lower() not in own
         ]
         return [
             *kept,
+            *account,
             (_DEADLINE_MS, str(max(1, int(remaining_s * 1000)))),
             (_EXPECTED_SERVER, server.name),
         ]
@@ -88,6 +103,12 @@
         )
 
 
+def _single_value(headers: Headers, name: str) -> str | None:
+    """Return a header's value, None if it is missing or has several."""
+    values = {value.strip() for key, value in headers if key.lower() == name}
+    return values.pop() if len(values) == 1 else None
+
+
 def _is_mixed(headers: Headers) -> bool:
     """Return whether a head has parts of more than one response."""
     single = [name.lower() for name, _ in headers if name.lower() in _SINGLE]
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -29,7 +29,14 @@
     "budgetWindow": "retry_window_s",
     "coldExcess": "cold_excess",
     "coldSlack": "cold_extra",
+    "quotaWindow": "quota_window_s",
+    "quotaExcess": "quota_excess",
+    "quotaSlack": "quota_extra",
+    "maxShift": "shift_max",
 }
+# Time for which keys are trusted without news, if the other bound says so.
+_KEY_TRUST = "revoke"
+_KEY_TRUST_LIMITED = "strictRevoke"
 
 
 def read_platform_settings() -> EdgeSettings:
@@ -118,19 +125,24 @@
 
 
 def _decode_bounds(rows: list) -> EdgeBounds:
-    overrides: dict[str, float] = {}
-    for row in rows:
-        name, _, text = str(row).partition("=")
-        if name not in _BOUND_FIELDS:
-            continue
-        overrides[_BOUND_FIELDS[name]] = (
-            values.parse_duration_s(text)
-            if text.endswith("s")
-            else float(text)
-        )
+    texts = dict(str(row).partition("=")[::2] for row in rows)
+    overrides = {
+        field: _decode_bound(texts[name])
+        for name, field in _BOUND_FIELDS.items()
+        if name in texts
+    }
+    if texts.get(_KEY_TRUST_LIMITED) == "true" and _KEY_TRUST in texts:
+        overrides["key_trust_s"] = _decode_bound(texts[_KEY_TRUST])
     return dataclasses.replace(EdgeBounds(), **overrides)
 
 
+def _decode_bound(text: str) -> float:
+    """Return a duration in seconds, or a plain number."""
+    if text.endswith("s"):
+        return values.parse_duration_s(text)
+    return float(text)
+
+
 def _decode_capacity(limits: Any) -> float:
     """Return the lesser of processor and link, relative to a full core."""
     if not isinstance(limits, dict):
--- a/chiverun/platform/statecodec.py
+++ b/chiverun/platform/statecodec.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from chiverun.core.accounts import digest_of
+from chiverun.core.catalog import ClientAccount
 from chiverun.core.catalog import ClientLimits
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Part
@@ -17,6 +19,8 @@
 from chiverun.core.catalog import ServiceSpec
 from chiverun.core.catalog import StateFault
 from chiverun.core.catalog import StateVersion
+from chiverun.core.ids import AccountName
+from chiverun.core.ids import KeyDigest
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServiceName
 from chiverun.platform import values
@@ -71,6 +75,7 @@
         routes=tuple(routes),
         services=tuple(spec for spec in specs if spec is not None),
         limits=_decode_limits(values.field(body, "limits", dict), faults),
+        accounts=_decode_accounts(body.get("tenants"), faults),
         faults=tuple(faults.rows),
     )
 
@@ -115,6 +120,7 @@
         priority=faults.read(place, lambda: _priority(rule), 0),
         sticky=bool(rule.get("sticky")),
         homes=_decode_homes(action),
+        public=faults.read(place, lambda: _is_public(rule), False),
     )
 
 
@@ -145,6 +151,12 @@
     return _REPEATABLE_BY_KIND[kind]
 
 
+def _is_public(rule: dict) -> bool:
+    if rule.get("public") is None:
+        return False
+    return values.field(rule, "public", bool)
+
+
 def _priority(rule: dict) -> int:
     return values.integer(rule, "priority") if rule.get("priority") else 0
 
@@ -177,6 +189,103 @@
     return tuple(RegionName(home) for home in homes)
 
 
+def _decode_accounts(
+    rows: Any, faults: _Faults
+) -> tuple[ClientAccount, ...] | None:
+    """Decode the client accounts; None if none are declared.
+
+    A key in several accounts is that of an unreadable one.
+    """
+    if rows is None or rows == []:
+        return None
+    if not isinstance(rows, list):
+        reason = f"{type(rows).__name__} is not valid; expected a list"
+        faults.add("accounts", reason)
+        return (_unreadable_account("", (), reason),)
+    accounts = [_decode_account(row, faults) for row in rows]
+    return _without_shared_keys([a for a in accounts if a], faults)
+
+
+def _decode_account(body: Any, faults: _Faults) -> ClientAccount | None:
+    try:
+        name = AccountName(values.field(body, "name", str))
+        values.check_header_value(name, "name")
+    except values.InvalidValueError as exc:
+        faults.add("account without a valid name", str(exc))
+        return None
+    place = f"account {name!r}"
+    digests = _decode_keys(body, place, faults)
+    try:
+        return ClientAccount(
+            name=name,
+            key_digests=digests,
+            priority=values.integer(body, "priority")
+            if body.get("priority") is not None
+            else None,
+            per_s=values.number(body, "ratePerS")
+            if body.get("ratePerS")
+            else None,
+            burst=values.number(body, "burst") if body.get("burst") else 0.0,
+            homes=_decode_homes(body),
+        )
+    except values.InvalidValueError as exc:
+        faults.add(place, str(exc))
+        return _unreadable_account(name, digests, str(exc))
+
+
+def _decode_keys(
+    body: dict, place: str, faults: _Faults
+) -> tuple[KeyDigest, ...]:
+    """Return digests of the valid keys; no fault quotes a key."""
+    rows = body.get("apiKeys") or []
+    if not isinstance(rows, list):
+        faults.add(place, "apiKeys: expected a list")
+        return ()
+    valid = [key for key in rows if isinstance(key, str) and key.strip()]
+    if len(valid) < len(rows):
+        invalid = len(rows) - len(valid)
+        faults.add(place, f"apiKeys: {invalid} of {len(rows)} are no text")
+    return tuple(digest_of(key) for key in valid)
+
+
+def _unreadable_account(
+    name: str, digests: tuple[KeyDigest, ...], reason: str
+) -> ClientAccount:
+    return ClientAccount(
+        name=AccountName(name), key_digests=digests, fault=reason
+    )
+
+
+def _without_shared_keys(
+    accounts: list[ClientAccount], faults: _Faults
+) -> tuple[ClientAccount, ...]:
+    """Move keys that several accounts have to an unreadable account."""
+    owners: dict[KeyDigest, set[AccountName]] = {}
+    for account in accounts:
+        for digest in account.key_digests:
+            owners.setdefault(digest, set()).add(account.name)
+    shared = {key: names for key, names in owners.items() if len(names) > 1}
+    if not shared:
+        return tuple(accounts)
+    extra = []
+    for digest, names in shared.items():
+        reason = f"apiKeys: one key of {', '.join(sorted(names))}"
+        faults.add("accounts", reason)
+        extra.append(_unreadable_account("", (digest,), reason))
+    kept = [
+        msgspec.structs.replace(
+            account,
+            key_digests=tuple(
+                digest
+                for digest in account.key_digests
+                if digest not in shared
+            ),
+        )
+        for account in accounts
+    ]
+    return (*kept, *extra)
+
+
 def _decode_service(body: Any, faults: _Faults) -> ServiceSpec | None:
     try:
         name = ServiceName(values.field(body, "name", str))
--- a/chiverun/platform/values.py
+++ b/chiverun/platform/values.py
@@ -15,6 +15,7 @@
 NUMBER_MAX = 1e12
 DURATION_MAX_S = 1e6
 _PORT_MAX = 65535
+HEADER_VALUE_LENGTH_MAX = 200
 _PORT_DIGITS = len(str(_PORT_MAX))
 
 
@@ -104,6 +105,26 @@
         raise InvalidValueError(f"{name}: {exc}") from exc
 
 
+def check_header_value(text: str, name: str) -> None:
+    """Check that a text can be the value of a header.
+
+    Raises
+    ------
+    InvalidValueError
+    """
+    is_valid = (
+        0 < len(text) <= HEADER_VALUE_LENGTH_MAX
+        and text.isascii()
+        and text.isprintable()
+        and text == text.strip()
+    )
+    if not is_valid:
+        raise InvalidValueError(
+            f"{name}: {text[:80]!r} is not valid; expected 1 to "
+            f"{HEADER_VALUE_LENGTH_MAX} printable ASCII characters"
+        )
+
+
 def address(body: Any, name: str) -> Address:
     """Return a field with an IP address and a port.
 
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -10,6 +10,7 @@
 import logbook
 
 from chiverun.core.accounts import AccountTable
+from chiverun.core.accounts import unknown_homes
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.bytebudget import MEMORY_FRACTION
 from chiverun.core.catalog import DesiredState
@@ -333,7 +334,7 @@
         if routes is None or routes.version != state.version:
             routes = RouteTable.of(state)
             self._steering.routes = routes
-            self._steering.accounts = AccountTable(state.accounts)
+            self._steering.callers.accounts = AccountTable(state.accounts)
             self._entry.limits = routes.limits
             _LOG.info(
                 "desired state in force", extra={"version": state.version}
@@ -347,12 +348,15 @@
         )
 
     def _report_faults(self, state: DesiredState) -> None:
-        self.metrics.state_faults.add(len(state.faults))
-        for fault in state.faults:
+        regions = frozenset(self.cfg.regions.values())
+        faults = (*state.faults, *unknown_homes(state, regions))
+        self.metrics.state_faults.add(len(faults))
+        for fault in faults:
             _LOG.warning(
                 "part of the desired state cannot be read",
                 extra={
                     "version": state.version,
+                    "code": int(ResultCode.STATE_PART_INVALID),
                     "place": fault.place,
                     "reason": fault.reason,
                 },
--- a/chiverun/runtime/headercodec.py
+++ b/chiverun/runtime/headercodec.py
@@ -6,11 +6,19 @@
 
 if TYPE_CHECKING:
     from chiverun.core.catalog import Server
+    from chiverun.core.ids import AccountName
     from chiverun.core.ids import ServerName
     from chiverun.integrations.asyncserver import Headers
     from chiverun.integrations.asyncserver import IncomingRequest
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerIdentity:
+    """Who sends a request; `account` is None on a public route."""
+
+    account: "AccountName | None"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestMetadata:
     """Request metadata from headers; `deadline_s` is the time left."""
@@ -20,6 +28,8 @@
     deadline_s: float | None
     # Of a client account; never logged.
     api_key: str | None = dataclasses.field(default=None, repr=False)
+    # None while no client accounts are declared.
+    caller: CallerIdentity | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -71,7 +81,11 @@
     ) -> RequestMetadata: ...
 
     def request_headers(
-        self, headers: "Headers", server: "Server", remaining_s: float
+        self,
+        headers: "Headers",
+        server: "Server",
+        remaining_s: float,
+        caller: CallerIdentity | None = None,
     ) -> "Headers": ...
 
     def response_metadata(
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -365,6 +365,7 @@
 def make_placement(
     route: Route,
     service: ServiceName,
+    permitted: tuple[RegionName, ...],
     affinity_key: str,
     request_id: str,
     typical_s: float,
@@ -378,7 +379,7 @@
     return Placement(
         service=service,
         key=f"{route.host}{route.prefix}\0{key}",
-        permitted_regions=route.homes,
+        permitted_regions=permitted,
         typical_s=typical_s,
         run_s=run_s,
         objective_s=route.objective_s,
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -282,7 +282,7 @@
     ) -> OutgoingRequest:
         headers = end_to_end(request.headers)
         headers = self._header_codec.request_headers(
-            headers, row.server, remaining_s
+            headers, row.server, remaining_s, metadata.caller
         )
         has_body = request.body or request.method not in ("GET", "HEAD")
         if has_body:
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -2,25 +2,19 @@
 
 import asyncio
 import dataclasses
-import functools
 from collections.abc import Callable
 from collections.abc import Collection
 
 import logbook
 
-from chiverun.core.accounts import AccountTable
-from chiverun.core.accounts import KnownKey
 from chiverun.core.accounts import UndecidedKey
 from chiverun.core.accounts import UnknownKey
-from chiverun.core.catalog import ClientAccount
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import Route
 from chiverun.core.catalog import RouteTable
 from chiverun.core.edgesettings import EdgeBounds
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import Answered
-from chiverun.core.exchange import CODE_HEADER
-from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
 from chiverun.core.quota import AccountQuotas
 from chiverun.core.quota import Exceeded
@@ -29,24 +23,30 @@
 from chiverun.core.splits import SplitTable
 from chiverun.core.suspects import EndedServer
 from chiverun.core.suspects import Fingerprint
-from chiverun.core.suspects import fingerprint_of
 from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import OutgoingResponse
+from chiverun.runtime.callers import Caller
+from chiverun.runtime.callers import Callers
+from chiverun.runtime.callers import DisjointHomes
 from chiverun.runtime.edgemetrics import EdgeMetrics
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
+from chiverun.runtime.refusals import KeyRevoked
+from chiverun.runtime.refusals import refusal_reason
+from chiverun.runtime.refusals import Refusals
 from chiverun.runtime.routelatencies import RouteLatencies
 from chiverun.runtime.selection import LimitReached
 from chiverun.runtime.selection import make_placement
 from chiverun.runtime.selection import Overloaded
-from chiverun.runtime.selection import Placement
 from chiverun.runtime.selection import queue_factor
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import end_to_end
 from chiverun.runtime.sending import Sender
 from chiverun.runtime.sending import SendResult
 from chiverun.runtime.servertable import ServerRow
+from chiverun.runtime.steeredrequest import Request
+from chiverun.runtime.steeredrequest import Send
 from chiverun.runtime.stopping import may_outlast
 from chiverun.runtime.stopping import StopProgress
 from chiverun.runtime.stopping import TIMEOUT_SLACK_S
@@ -56,10 +56,6 @@
 # Deadline of a request whose client sets none; the route's timeout still
 # applies.
 DEADLINE_DEFAULT_S = 30.0
-# Retry-After for requests that did not run, unless the expected wait for a
-# slot is longer.
-RETRY_AFTER_S = 0.3
-RETRY_AFTER_MAX_S = 3.0
 # A request is hedged once it has taken this many times the route's typical
 # latency and at least this fraction of the route's latency objective.
 HEDGE_LATENCY_FACTOR = 3.0
@@ -68,49 +64,6 @@
 SENDS_MAX = 4
 
 
-@dataclasses.dataclass(kw_only=True)
-class Request:
-    """State of a client's request in progress; times are event loop time."""
-
-    incoming: IncomingRequest
-    metadata: RequestMetadata
-    route: Route
-    service: ServiceName
-    placement: Placement
-    deadline: float
-    # None on a public route, and while no accounts are declared.
-    account: ClientAccount | None = None
-    # Number of sends that may have run on a server.
-    runs: int = 0
-    sends: int = 0
-    tried: set[ServerName] = dataclasses.field(default_factory=set)
-    failure: Answered | None = None
-    pending: dict[asyncio.Task[SendResult], "Send"] = dataclasses.field(
-        default_factory=dict
-    )
-    # Why no server may get it, and the shortest time until one may.
-    refusal: Overloaded | LimitReached | None = None
-
-    @functools.cached_property
-    def fingerprint(self) -> Fingerprint:
-        """What the request asks for."""
-        return fingerprint_of(
-            method=self.incoming.method,
-            host=self.incoming.header("host") or "",
-            target=self.incoming.target,
-            body=self.incoming.body,
-        )
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Send:
-    """Send in progress; `queue_factor` is the expected queueing slowdown."""
-
-    row: ServerRow
-    started_at: float
-    queue_factor: float
-
-
 class Steering:
     """Serves clients' requests according to the current catalog."""
 
@@ -130,7 +83,10 @@
         quotas: AccountQuotas,
     ) -> None:
         self.routes: RouteTable | None = None
-        self.accounts = AccountTable(None)
+        self.callers = Callers(
+            catalog_age_s=catalog_age_s, key_trust_s=bounds.key_trust_s
+        )
+        self._refusals = Refusals(metrics=metrics)
         self._quotas = quotas
         self._header_codec = header_codec
         self._selector = selector
@@ -154,7 +110,7 @@
         """
         metadata = self._header_codec.request_metadata(incoming)
         if self.routes is None:
-            return self._reject(
+            return self._refusals.not_run(
                 metadata, "no desired state has been received yet"
             )
         path = incoming.target.partition("?")[0]
@@ -163,20 +119,37 @@
         if route is None:
             self._log(metadata, 404, "no route", version=self.routes.version)
             return OutgoingResponse(status=404, headers=[])
+        details = {"route": route.name, **self._state_age()}
         if route.fault is not None:
-            return self._reject_unreadable(metadata, route)
-        account = None
-        if self.accounts.is_required and not route.public:
-            match self.accounts.owner(metadata.api_key):
-                case KnownKey(account=account):
-                    pass
-                case UnknownKey():
-                    return self._refuse_key(metadata, route)
-                case UndecidedKey(reason=reason):
-                    return self._reject_undecided(metadata, route, reason)
+            return self._refusals.not_run(
+                metadata,
+                "route cannot be read",
+                code=ResultCode.ROUTE_UNREADABLE,
+                **details,
+            )
+        match self.callers.identify(metadata, route):
+            case UnknownKey():
+                return self._refusals.unknown_key(metadata, **details)
+            case UndecidedKey(reason=reason):
+                return self._refusals.not_run(
+                    metadata,
+                    f"key undecided: {reason}",
+                    code=ResultCode.API_KEY_UNDECIDED,
+                    **details,
+                )
+            case DisjointHomes(account=account):
+                return self._refusals.not_run(
+                    metadata,
+                    "homes of route and account are disjoint",
+                    code=ResultCode.ACCOUNT_HOMES_DISJOINT,
+                    account=account.name,
+                    **details,
+                )
+            case Caller() as caller:
+                pass
         if self._may_outlast(route):
-            return self._reject(metadata, "stopping")
-        request = self._new_request(incoming, metadata, route, account)
+            return self._refusals.not_run(metadata, "stopping", **details)
+        request = self._new_request(incoming, metadata, route, caller)
         if self._is_suspect(request):
             return self._refuse_suspect(request)
         try:
@@ -193,7 +166,7 @@
         incoming: IncomingRequest,
         metadata: RequestMetadata,
         route: Route,
-        account: ClientAccount | None,
+        caller: Caller,
     ) -> Request:
         service = self._splits.choose(
             f"{route.host}{route.prefix}", route.parts
@@ -204,19 +177,20 @@
         limit_s = min(deadline_s, route.timeout_s + TIMEOUT_SLACK_S)
         return Request(
             incoming=incoming,
-            metadata=metadata,
+            metadata=dataclasses.replace(metadata, caller=caller.identity),
             route=route,
             service=service,
             placement=make_placement(
                 route,
                 service,
+                caller.permitted_regions,
                 metadata.affinity_key,
                 metadata.request_id,
                 self._latencies.typical_s(route),
                 self._latencies.run_s(route),
             ),
             deadline=incoming.arrived_at + limit_s,
-            account=account,
+            account=caller.account,
         )
 
     async def _serve_within_quota(self, request: Request) -> OutgoingResponse:
@@ -226,7 +200,9 @@
             return await self._serve(request)
         outcome = await self._quotas.admit(account, request.deadline)
         if isinstance(outcome, Exceeded):
-            return self._refuse_over_quota(request, outcome)
+            return self._refusals.over_quota(
+                request.metadata, outcome, **self._details(request)
+            )
         try:
             return await self._serve(request)
         finally:
@@ -235,8 +211,7 @@
 
     async def _serve(self, request: Request) -> OutgoingResponse:
         if not self._start_send(request):
-            reason = _refusal_reason(request.refusal)
-            return self._reject(request.metadata, reason, request)
+            return self._refuse(request, refusal_reason(request.refusal))
         while True:
             done, _ = await asyncio.wait(
                 request.pending,
@@ -300,6 +275,9 @@
         now = self._loop.time()
         budget = self._budget(request.service)
         machines = len(self._fleet())
+        if self.callers.is_revoked(request.metadata, request.account):
+            request.refusal = KeyRevoked()
+            return False
         # Before the choice of a server, which uses up limits.
         if request.sends and not budget.allows(now, machines):
             self._metrics.budget_refused.add(1)
@@ -411,7 +389,7 @@
         if request.failure is not None and not request.pending:
             return self._forward(request, None, request.failure)
         if request.runs == 0 and not request.pending:
-            return self._reject(request.metadata, reason, request)
+            return self._refuse(request, reason)
         status = 504 if reason == "timeout" else 502
         self._log(
             request.metadata,
@@ -425,65 +403,27 @@
         )
         return OutgoingResponse(status=status, headers=[])
 
-    def _reject(
-        self,
-        metadata: RequestMetadata,
-        reason: str,
-        request: Request | None = None,
-    ) -> OutgoingResponse:
+    def _refuse(self, request: Request, reason: str) -> OutgoingResponse:
         """Return the response to a request that has not run and will not."""
-        timing = self._timing(request) if request is not None else {}
-        wait_s = None
-        if request is not None and request.refusal is not None:
-            wait_s = request.refusal.wait_s
-        retry_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_S, wait_s or 0.0))
-        self._log(metadata, 503, reason, wait_s=wait_s, **timing)
-        self._metrics.record_request(503, 0.0)
-        return OutgoingResponse(
-            status=503, headers=[("Retry-After", f"{retry_s:.3g}")]
-        )
-
-    def _refuse_key(
-        self, metadata: RequestMetadata, route: Route
-    ) -> OutgoingResponse:
-        """Return the response to a request without a valid key."""
-        self._log(metadata, 401, "unknown key", route=route.name)
-        self._metrics.record_request(401, 0.0)
-        code = str(int(ResultCode.API_KEY_UNKNOWN))
-        return OutgoingResponse(
-            status=401,
-            headers=[("WWW-Authenticate", "ApiKey"), (CODE_HEADER, code)],
-        )
-
-    def _reject_undecided(
-        self, metadata: RequestMetadata, route: Route, reason: str
-    ) -> OutgoingResponse:
-        """Return the response to a request whose key cannot be judged."""
-        response = self._reject(metadata, f"key undecided: {reason}")
-        code = str(int(ResultCode.API_KEY_UNDECIDED))
-        return dataclasses.replace(
-            response, headers=[*response.headers, (CODE_HEADER, code)]
+        details = self._details(request)
+        match request.refusal:
+            case KeyRevoked():
+                return self._refusals.unknown_key(request.metadata, **details)
+            case Overloaded(wait_s=wait_s) | LimitReached(wait_s=wait_s):
+                pass
+            case None:
+                wait_s = None
+        return self._refusals.not_run(
+            request.metadata, reason, wait_s=wait_s, **details
         )
 
-    def _refuse_over_quota(
-        self, request: Request, outcome: Exceeded
-    ) -> OutgoingResponse:
-        """Return the response to a request over its account's limit."""
-        retry_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_S, outcome.wait_s))
-        self._log(
+    def _refuse_suspect(self, request: Request) -> OutgoingResponse:
+        ends = self._suspects.ends(request.fingerprint)
+        return self._refusals.ends_servers(
             request.metadata,
-            429,
-            "over quota",
-            account=request.account.name,
-            route=request.route.name,
-            retry_s=retry_s,
-            **self._timing(request),
-        )
-        self._metrics.record_request(429, 0.0)
-        code = str(int(ResultCode.QUOTA_EXCEEDED))
-        return OutgoingResponse(
-            status=429,
-            headers=[("Retry-After", f"{retry_s:.3g}"), (CODE_HEADER, code)],
+            request=request.fingerprint.hex(),
+            servers=[end.server for end in ends],
+            **self._details(request),
         )
 
     def _is_suspect(self, request: Request) -> bool:
@@ -493,35 +433,6 @@
             request.fingerprint, now
         )
 
-    def _refuse_suspect(self, request: Request) -> OutgoingResponse:
-        """Return the response to a request under which servers ended.
-
-        It may have run before, under another id too, and must not return.
-        """
-        ends = self._suspects.ends(request.fingerprint)
-        self._log(
-            request.metadata,
-            502,
-            "servers ended under request",
-            route=request.route.name,
-            request=request.fingerprint.hex(),
-            servers=[end.server for end in ends],
-            **self._timing(request),
-        )
-        self._metrics.suspects_refused.add(1)
-        self._metrics.record_request(502, 0.0)
-        code = str(int(ResultCode.REQUEST_ENDS_SERVERS))
-        return OutgoingResponse(status=502, headers=[(CODE_HEADER, code)])
-
-    def _reject_unreadable(
-        self, metadata: RequestMetadata, route: Route
-    ) -> OutgoingResponse:
-        response = self._reject(metadata, "route cannot be read")
-        code = str(int(ResultCode.ROUTE_UNREADABLE))
-        return dataclasses.replace(
-            response, headers=[*response.headers, (CODE_HEADER, code)]
-        )
-
     def _budget(self, service: ServiceName) -> SendBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -541,12 +452,26 @@
             run_s=(now - send.started_at) / send.queue_factor,
         )
 
+    def _details(self, request: Request) -> dict:
+        """Return what is logged of a request that ends."""
+        account = request.account
+        return {
+            "route": request.route.name,
+            "account": account.name if account is not None else None,
+            **self._timing(request),
+        }
+
     def _timing(self, request: Request) -> dict:
         now = self._loop.time()
         return {
             "service": request.service,
             "ms": round(1000 * (now - request.incoming.arrived_at), 1),
             "sends": request.sends,
+            **self._state_age(),
+        }
+
+    def _state_age(self) -> dict:
+        return {
             "version": self.routes.version,
             "catalog_age_ms": round(1000 * self._catalog_age_s()),
         }
@@ -558,13 +483,3 @@
             reason,
             extra={"id": metadata.request_id, "status": status, **extra},
         )
-
-
-def _refusal_reason(refusal: Overloaded | LimitReached | None) -> str:
-    match refusal:
-        case Overloaded():
-            return "overload"
-        case LimitReached():
-            return "server limits reached"
-        case None:
-            return "no server may get it"
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -57,6 +57,8 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled: list[str] = []
         self.targets: list[str] = []
+        # Headers of each request that has run, names in lower case.
+        self.headers: list[dict[str, str]] = []
         # Event loop times at which requests arrived.
         self.arrived_at: list[float] = []
         self.health_checks = 0
@@ -144,6 +146,7 @@
             return True
         self.runs[request_id] += 1
         self.targets.append(request_line.split(" ")[1])
+        self.headers.append(headers)
         if self.targets[-1] == self.faults.deadly_target:
             await asyncio.sleep(DEADLY_RUN_S)
             self.end()
--- a/tests/runtime/limitedfleet.py
+++ b/tests/runtime/limitedfleet.py
@@ -285,7 +285,9 @@
     def _ask(self, machine: SimulatedMachine) -> None:
         self.asked += 1
         key = f"k{int(self._rng.random() ** 2 * 40 * self.size.servers)}"
-        placement = make_placement(ROUTE, SERVICE, key, "id", RUN_S, RUN_S)
+        placement = make_placement(
+            ROUTE, SERVICE, ROUTE.homes, key, "id", RUN_S, RUN_S
+        )
         self._send(machine, placement, set())
 
     def _send(self, machine: SimulatedMachine, placement, tried) -> None:
--- a/tests/runtime/test_edge_errors.py
+++ b/tests/runtime/test_edge_errors.py
@@ -36,6 +36,6 @@
         [count] = [
             line
             for line in lines
-            if line.startswith("chiverun_unexpected_errors_total{")
+            if line.startswith("chiverun_unexpected_errors_total ")
         ]
         self.assertTrue(count.endswith(" 1.0"), count)
--- a/tests/runtime/test_selection.py
+++ b/tests/runtime/test_selection.py
@@ -87,7 +87,7 @@
         sticky=True,
         homes=(),
     )
-    return make_placement(route, "mill", key, "id", 0.1, 0.1)
+    return make_placement(route, "mill", route.homes, key, "id", 0.1, 0.1)
 
 
 class ZoneFirstTest(unittest.TestCase):
