Use the same two servers of a key from other regions

Cause: requests from another region went to the two first servers of a key in rendezvous order, those of the region's own machines to the first in each of two zones. So a key had up to three servers, each of which had to load its data, and took their caches' room from other keys.

Change: other regions order a key's servers by the zone of the first one.

Result: the new test failed before and passes; 16 tests of selection pass.

--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -206,6 +206,9 @@
             ranked = rendezvous(placement.key, servers)
             if region == self._region:
                 ranked = zone_first(ranked, self._preferred_zone(placement))
+            elif ranked:
+                # The same two servers as for the region's own machines.
+                ranked = zone_first(ranked, ranked[0].zone)
             rows = [self._table.rows[server.name] for server in ranked]
             self._rankings[key] = rows
         return rows
--- a/tests/runtime/test_selection.py
+++ b/tests/runtime/test_selection.py
@@ -1,5 +1,6 @@
 """Tests of server selection."""
 
+import dataclasses
 import unittest
 
 from chiverun.core.catalog import Machine
@@ -119,6 +120,24 @@
             self.assertEqual("a2", other.server.zone)
             self.assertEqual(other, spilled)
 
+    def test_other_regions_use_the_two_servers_of_a_key(self) -> None:
+        """Guards against keys that are cold on a third server."""
+        table = _table(a1=8, a2=8, b1=1)
+        own = _selector(table, "a1", ("a2",))
+        other = _selector(table, "b1", ("b1",))
+        for i in range(100):
+            placement = dataclasses.replace(
+                _placement(f"k{i}"), permitted_regions=("a",)
+            )
+            pairs = []
+            for selector in (own, other):
+                first = selector.choose(placement, None, set(), _NOW)
+                first.load.in_flight = 5 * first.server.slots
+                second = selector.choose(placement, None, set(), _NOW)
+                first.load.in_flight = 0
+                pairs.append({first.server.name, second.server.name})
+            self.assertEqual(*pairs)
+
     def test_zone_with_more_machines_does_not_overload_its_servers(
         self,
     ) -> None:
