--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chiverun.core.catalog import Machine
+from chiverun.core.ids import AccountName
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
@@ -111,8 +112,94 @@
     ]
 
 
+# Accounts in a report of demand; more are left out.
+QUOTA_ROWS_MAX = 2000
+_COUNT_MAX = 10**9
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)]
+
+
+class QuotaDemand(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """Demand of an account at an instance, in tokens.
+
+    `waiting` requests have found none, `expected` come soon. The instance
+    keeps `stock` if there are enough; 0 if it wants none any more.
+    """
+
+    account: AccountName
+    held: _Count
+    returned: _Count
+    waiting: _Count
+    expected: _Amount
+    stock: _Amount
+
+
+class QuotaReport(msgspec.Struct, frozen=True, kw_only=True, tag="q"):
+    """Tokens of accounts that an instance has, and those that it wants.
+
+    `number` grows with each report of a process. The echo is of the last
+    grant that has come from the receiver, `echo_age_s` ago. For `share_s`
+    after sending, the receiver may use the sender's share of all limits; 0
+    ends an earlier delegation. With `starts_filled` its buckets need not
+    start empty.
+    """
+
+    sender: InstanceId
+    reply_to: Address
+    boot_id: BootId = msgspec.field(name="life")
+    number: _Count
+    echo_boot_id: BootId | None = None
+    echo_sent_at: _Amount = 0.0
+    echo_age_s: _Amount = 0.0
+    share_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
+    starts_filled: bool = False
+    demands: Annotated[
+        list[QuotaDemand], msgspec.Meta(max_length=QUOTA_ROWS_MAX)
+    ] = []
+
+
+class QuotaTokens(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """Tokens to add to those held, negative for some to return.
+
+    `wait_s` is the expected time until there are more, 0 if that is open.
+    """
+
+    account: AccountName
+    tokens: Annotated[int, msgspec.Meta(ge=-_COUNT_MAX, le=_COUNT_MAX)]
+    wait_s: Annotated[float, msgspec.Meta(ge=0, le=60)]
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, kw_only=True, tag="g"):
+    """Answer to the report `number` of the process `receiver`.
+
+    `sent_at` is a time of the sender's own clock, which reports return. A
+    sender that is `leaving` will not answer for long.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    receiver: BootId
+    number: _Count
+    sent_at: _Amount
+    leaving: bool = False
+    tokens: Annotated[
+        list[QuotaTokens], msgspec.Meta(max_length=QUOTA_ROWS_MAX)
+    ] = []
+
+
 EdgeMessage = (
-    Heartbeat | Update | Pull | Snapshot | LimitReports | SuspectReport
+    Heartbeat
+    | Update
+    | Pull
+    | Snapshot
+    | LimitReports
+    | SuspectReport
+    | QuotaReport
+    | QuotaGrant
 )
 
 # Compression gains nothing for smaller messages.
--- /dev/null
+++ b/chiverun/core/quotacoordinator.py
@@ -0,0 +1,464 @@
+"""Token buckets of client accounts, from which tokens are leased.
+
+A coordinator's buckets have the rate and capacity of the shares that instances
+delegate to it at the moment. The tokens in a bucket and those that lease
+holders have never exceed its capacity together, so that tokens held unused do
+not add to the burst.
+"""
+
+import dataclasses
+import math
+from collections.abc import Collection
+from collections.abc import Mapping
+
+from chiverun.core.catalog import ClientAccount
+from chiverun.core.catalog import Machine
+from chiverun.core.edgemessages import QuotaDemand
+from chiverun.core.edgemessages import QuotaGrant
+from chiverun.core.edgemessages import QuotaReport
+from chiverun.core.edgemessages import QuotaTokens
+from chiverun.core.edgesettings import EdgeBounds
+from chiverun.core.ids import AccountName
+from chiverun.core.ids import BootId
+from chiverun.core.ids import InstanceId
+from chiverun.core.quotashares import capacity_of
+from chiverun.core.quotashares import excess_of
+from chiverun.core.quotashares import ShareTable
+from chiverun.core.quotashares import START_PART
+from chiverun.core.quotatokens import token_life_s
+
+# Part of the capacity above which much is left, and below which lease holders
+# return what they will not need soon.
+AMPLE_PART = 0.5
+SCARCE_PART = 0.25
+# Lease holders keep what they have for this time after an instance has begun
+# to delegate its share: the others that change their coordinator will follow.
+SETTLED_S = 1.5
+# Accounts that are not in use are forgotten after this time.
+BUCKET_IDLE_S = 30.0
+# Time to return for accounts whose limit this coordinator does not know.
+UNKNOWN_WAIT_S = 0.5
+WAIT_MIN_S = 0.02
+WAIT_MAX_S = 10.0
+_CHANGES_MAX = 2000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Deposit:
+    """The share that an instance delegates; times are monotonic seconds."""
+
+    start: float
+    end: float
+    starts_filled: bool
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Holder:
+    boot_id: BootId
+    number: int
+    reported_at: float
+    accounts: set[AccountName] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Lease:
+    """Tokens of an account that a lease holder has, and lacks."""
+
+    tokens: int = 0
+    unmet: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Change:
+    """An instance that begins or ceases to delegate its share."""
+
+    at: float
+    holder: InstanceId
+    sign: int
+    starts_filled: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class Bucket:
+    """Tokens of one account; `fraction` is the delegated part of its limit.
+
+    `per_s`, `capacity` and `start` are of the whole limit.
+    """
+
+    per_s: float
+    capacity: float
+    start: float
+    owners: frozenset[InstanceId]
+    fraction: float
+    level: float
+    updated_at: float
+    used_at: float
+    changes_seen: int
+    outstanding: int = 0
+    unmet: float = 0.0
+    is_exhausted: bool = False
+    leases: dict[InstanceId, Lease] = dataclasses.field(default_factory=dict)
+
+    @property
+    def limit(self) -> float:
+        """Return the capacity of the delegated shares."""
+        return self.capacity * self.fraction
+
+    def accrue(self, now: float) -> None:
+        """Add the tokens of the time since the last update."""
+        elapsed_s = max(0.0, now - self.updated_at)
+        self.level += elapsed_s * self.per_s * self.fraction
+        self.updated_at = max(self.updated_at, now)
+        self.clip()
+
+    def clip(self) -> None:
+        """Drop tokens above the capacity."""
+        self.level = min(self.level, max(0.0, self.limit - self.outstanding))
+
+    def apply(self, change: _Change) -> None:
+        """Change the delegated part."""
+        if change.holder not in self.owners:
+            return
+        self.accrue(change.at)
+        part = 1 / len(self.owners)
+        self.fraction = max(0.0, self.fraction + change.sign * part)
+        if change.starts_filled:
+            self.level += self.start * part
+        self.clip()
+
+    def wait_s(self) -> float:
+        """Return the expected time until a token is left."""
+        rate = self.per_s * self.fraction
+        if rate <= 0:
+            return WAIT_MAX_S
+        missing = max(0.0, self.unmet + 1.0 - self.level)
+        return min(WAIT_MAX_S, max(WAIT_MIN_S, missing / rate))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Exhaustion:
+    """An account that has run out of tokens, or has some again."""
+
+    account: AccountName
+    is_exhausted: bool
+    level: float
+    outstanding: int
+    fraction: float
+
+
+class QuotaCoordinator:
+    """Answers the reports of lease holders.
+
+    Parameters
+    ----------
+    boot_id : BootId
+        Process lifetime; times of an earlier one mean nothing.
+    """
+
+    def __init__(
+        self, *, name: InstanceId, boot_id: BootId, bounds: EdgeBounds
+    ) -> None:
+        self.name = name
+        self.boot_id = boot_id
+        self.deposits: dict[InstanceId, Deposit] = {}
+        self.buckets: dict[AccountName, Bucket] = {}
+        # Accounts that have become exhausted or recovered, to be logged.
+        self.exhaustions: list[Exhaustion] = []
+        self.is_leaving = False
+        self._bounds = bounds
+        self._accounts: Mapping[AccountName, ClientAccount] = {}
+        self._shares = ShareTable(())
+        self._holders: dict[InstanceId, _Holder] = {}
+        self._changes: list[_Change] = []
+        self._next_end = float("inf")
+        self._swept_at = float("-inf")
+        self._joined_at = float("-inf")
+
+    def set_fleet(self, machines: Collection[Machine], now: float) -> None:
+        """Set the instances that share the limits."""
+        self._advance_all(now)
+        self._shares = ShareTable(machines)
+        for name, bucket in self.buckets.items():
+            self._reshare(name, bucket)
+
+    def set_accounts(
+        self, accounts: Mapping[AccountName, ClientAccount], now: float
+    ) -> None:
+        """Set the accounts with limits; others are forgotten."""
+        self._advance_all(now)
+        self._accounts = accounts
+        for name, bucket in list(self.buckets.items()):
+            account = accounts.get(name)
+            if account is None:
+                del self.buckets[name]
+                continue
+            bucket.per_s = account.per_s
+            bucket.capacity = capacity_of(account, self._bounds)
+            bucket.start = START_PART * excess_of(account, self._bounds)
+            self._reshare(name, bucket)
+
+    def release(self, holder: InstanceId, now: float) -> None:
+        """End the delegation of an instance's share."""
+        self._expire(now)
+        if self.deposits.pop(holder, None) is not None:
+            self._changes.append(_Change(at=now, holder=holder, sign=-1))
+
+    def handle(self, report: QuotaReport, now: float) -> QuotaGrant | None:
+        """Return the answer to a report, None if a later one has come."""
+        self._expire(now)
+        holder = self._holders.get(report.sender)
+        if holder is None or holder.boot_id != report.boot_id:
+            holder = _Holder(
+                boot_id=report.boot_id, number=0, reported_at=now
+            )
+            self._forget(report.sender)
+            self._holders[report.sender] = holder
+        if report.number <= holder.number:
+            return None
+        holder.number = report.number
+        holder.reported_at = now
+        self._record_deposit(report, now)
+        named = {demand.account for demand in report.demands}
+        for account in holder.accounts - named:
+            self._drop_lease(account, report.sender)
+        holder.accounts = named
+        return QuotaGrant(
+            sender=self.name,
+            boot_id=self.boot_id,
+            receiver=report.boot_id,
+            number=report.number,
+            sent_at=now,
+            leaving=self.is_leaving,
+            tokens=[
+                self._grant(report.sender, demand, now)
+                for demand in report.demands
+            ],
+        )
+
+    def _record_deposit(self, report: QuotaReport, now: float) -> None:
+        """Use an instance's share as long as it delegates it.
+
+        The end is counted from a time of this clock before the report was
+        sent, so it is not late however long the report was on its way.
+        """
+        if report.share_s <= 0:
+            self.release(report.sender, now)
+            return
+        if report.echo_boot_id != self.boot_id:
+            return
+        sent_at = report.echo_sent_at + report.echo_age_s
+        if sent_at > now:
+            return
+        end = sent_at + report.share_s
+        deposit = self.deposits.get(report.sender)
+        if deposit is not None:
+            deposit.end = max(deposit.end, end)
+        elif end > now:
+            self.deposits[report.sender] = Deposit(
+                start=now, end=end, starts_filled=report.starts_filled
+            )
+            self._next_end = min(self._next_end, end)
+            self._joined_at = now
+            self._changes.append(
+                _Change(
+                    at=now,
+                    holder=report.sender,
+                    sign=1,
+                    starts_filled=report.starts_filled,
+                )
+            )
+
+    def _grant(
+        self, holder: InstanceId, demand: QuotaDemand, now: float
+    ) -> QuotaTokens:
+        bucket = self._bucket(demand.account, now)
+        if bucket is None:
+            # Tokens of an account without a known limit are not renewed.
+            return QuotaTokens(
+                account=demand.account,
+                tokens=-demand.held,
+                wait_s=UNKNOWN_WAIT_S,
+            )
+        lease = bucket.leases.setdefault(holder, Lease())
+        self._settle(bucket, lease, demand)
+        tokens = _tokens_for(bucket, demand)
+        if tokens < 0 and now - self._joined_at < SETTLED_S:
+            tokens = 0
+        granted = max(0, tokens)
+        bucket.level -= granted
+        bucket.outstanding += granted
+        lease.tokens = demand.held + granted
+        lease.unmet = max(
+            0.0, demand.waiting + demand.expected - lease.tokens
+        )
+        bucket.unmet += lease.unmet
+        is_short = bucket.level < 1 and lease.tokens <= demand.waiting
+        self._note_exhaustion(demand.account, bucket, is_short)
+        return QuotaTokens(
+            account=demand.account,
+            tokens=tokens,
+            wait_s=bucket.wait_s() if is_short else 0.0,
+        )
+
+    def _settle(
+        self, bucket: Bucket, lease: Lease, demand: QuotaDemand
+    ) -> None:
+        """Apply what a lease holder still has and what it returns."""
+        spent = lease.tokens - demand.held
+        bucket.outstanding -= spent
+        bucket.level += min(demand.returned, max(0, spent))
+        bucket.unmet = max(0.0, bucket.unmet - lease.unmet)
+        bucket.clip()
+
+    def _note_exhaustion(
+        self, account: AccountName, bucket: Bucket, is_short: bool
+    ) -> None:
+        if bucket.is_exhausted:
+            is_exhausted = bucket.level < SCARCE_PART * bucket.limit
+        else:
+            is_exhausted = is_short and bucket.level < 1
+        if is_exhausted != bucket.is_exhausted:
+            bucket.is_exhausted = is_exhausted
+            self.exhaustions.append(
+                Exhaustion(
+                    account=account,
+                    is_exhausted=is_exhausted,
+                    level=bucket.level,
+                    outstanding=bucket.outstanding,
+                    fraction=bucket.fraction,
+                )
+            )
+
+    def _bucket(self, name: AccountName, now: float) -> Bucket | None:
+        """Return the bucket of an account as of now."""
+        account = self._accounts.get(name)
+        if account is None:
+            return None
+        bucket = self.buckets.get(name)
+        if bucket is None:
+            bucket = self._new_bucket(account, now)
+            self.buckets[name] = bucket
+        self._advance(bucket, now)
+        bucket.used_at = now
+        return bucket
+
+    def _new_bucket(self, account: ClientAccount, now: float) -> Bucket:
+        """Return a bucket that has filled since shares were delegated."""
+        capacity = capacity_of(account, self._bounds)
+        start = START_PART * excess_of(account, self._bounds)
+        owners = self._shares.owners(account.name, capacity)
+        bucket = Bucket(
+            per_s=account.per_s,
+            capacity=capacity,
+            start=start,
+            owners=owners,
+            fraction=self._fraction(owners),
+            level=0.0,
+            updated_at=now,
+            used_at=now,
+            changes_seen=len(self._changes),
+        )
+        for holder in owners & self.deposits.keys():
+            deposit = self.deposits[holder]
+            filled = account.per_s * (now - deposit.start)
+            filled += start if deposit.starts_filled else 0.0
+            bucket.level += min(capacity, filled) / len(owners)
+        return bucket
+
+    def _reshare(self, name: AccountName, bucket: Bucket) -> None:
+        bucket.owners = self._shares.owners(name, bucket.capacity)
+        bucket.fraction = self._fraction(bucket.owners)
+        bucket.clip()
+
+    def _fraction(self, owners: frozenset[InstanceId]) -> float:
+        return len(owners & self.deposits.keys()) / max(1, len(owners))
+
+    def _advance(self, bucket: Bucket, now: float) -> None:
+        for change in self._changes[bucket.changes_seen :]:
+            bucket.apply(change)
+        bucket.changes_seen = len(self._changes)
+        bucket.accrue(now)
+
+    def _advance_all(self, now: float) -> None:
+        self._expire(now)
+        for bucket in self.buckets.values():
+            self._advance(bucket, now)
+            bucket.changes_seen = 0
+        self._changes.clear()
+
+    def _expire(self, now: float) -> None:
+        """End what has not been renewed."""
+        if now >= self._next_end:
+            self._expire_deposits(now)
+        if len(self._changes) > _CHANGES_MAX:
+            self._advance_all(now)
+        life_s = token_life_s(len(self._shares.names))
+        if now - self._swept_at > life_s:
+            self._swept_at = now
+            self._sweep(now, 2 * life_s)
+
+    def _expire_deposits(self, now: float) -> None:
+        ended = sorted(
+            (deposit.end, holder)
+            for holder, deposit in self.deposits.items()
+            if deposit.end <= now
+        )
+        for end, holder in ended:
+            del self.deposits[holder]
+            self._changes.append(_Change(at=end, holder=holder, sign=-1))
+        self._next_end = min(
+            (deposit.end for deposit in self.deposits.values()),
+            default=float("inf"),
+        )
+
+    def _sweep(self, now: float, life_s: float) -> None:
+        """Drop silent lease holders and buckets that are full and unused."""
+        for name, holder in list(self._holders.items()):
+            if now - holder.reported_at > life_s:
+                self._forget(name)
+                del self._holders[name]
+        for account, bucket in list(self.buckets.items()):
+            if now - bucket.used_at < BUCKET_IDLE_S or bucket.leases:
+                continue
+            self._advance(bucket, now)
+            if bucket.level >= bucket.limit:
+                del self.buckets[account]
+
+    def _forget(self, holder: InstanceId) -> None:
+        row = self._holders.get(holder)
+        for account in row.accounts if row is not None else ():
+            self._drop_lease(account, holder)
+
+    def _drop_lease(self, account: AccountName, holder: InstanceId) -> None:
+        bucket = self.buckets.get(account)
+        lease = bucket.leases.pop(holder, None) if bucket else None
+        if lease is not None:
+            bucket.outstanding -= lease.tokens
+            bucket.unmet = max(0.0, bucket.unmet - lease.unmet)
+
+
+def _tokens_for(bucket: Bucket, demand: QuotaDemand) -> int:
+    """Return the tokens to add to those held, negative to have some back.
+
+    Requests that wait and steady demand may use up the bucket, a stock only
+    what is above half of the capacity. So a request of an account that is
+    seldom used finds a token at any instance.
+    """
+    steady = int(demand.expected + 0.5)
+    firm = max(0, demand.waiting + steady - demand.held)
+    left = int(bucket.level)
+    ample = AMPLE_PART * bucket.limit
+    if firm > left:
+        return left
+    stock = demand.waiting + max(math.ceil(demand.stock), steady)
+    wanted = max(0, stock - demand.held - firm)
+    extra = min(wanted, max(0, int(bucket.level - firm - ample)))
+    if firm + extra:
+        return firm + extra
+    is_scarce = bucket.level < SCARCE_PART * bucket.limit
+    is_over = bucket.outstanding > bucket.limit
+    if is_scarce or is_over:
+        keep = demand.waiting + steady
+    else:
+        keep = stock + max(2, stock)
+    return min(0, keep - demand.held)
