--- a/chiverun/core/quota.py
+++ b/chiverun/core/quota.py
@@ -1,6 +1,7 @@
 """Outcome of checking a request against the quota of its client account."""
 
 import dataclasses
+import enum
 from typing import Protocol
 
 from chiverun.core.catalog import ClientAccount
@@ -11,11 +12,19 @@
     """The request may run; it counts until it is given back."""
 
 
+class QuotaReason(enum.Enum):
+    """Why there is no token for a request."""
+
+    EXHAUSTED = "exhausted"
+    NO_ANSWER = "no-answer"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Exceeded:
     """The account is over its limit; `wait_s` is when it may be below."""
 
     wait_s: float
+    reason: QuotaReason = QuotaReason.EXHAUSTED
 
 
 class AccountQuotas(Protocol):
--- a/chiverun/core/quotaadmission.py
+++ b/chiverun/core/quotaadmission.py
@@ -10,6 +10,7 @@
 from chiverun.core.ids import Address
 from chiverun.core.quota import Admitted
 from chiverun.core.quota import Exceeded
+from chiverun.core.quota import QuotaReason
 from chiverun.core.quotaclient import Outgoing
 from chiverun.core.quotaclient import QuotaClient
 
@@ -49,8 +50,6 @@
         send: Callable[[Address, QuotaReport], None],
     ) -> None:
         self.client = client
-        # Requests that have waited, for each outcome.
-        self.waited = 0
         self._send = send
         self._tokens = client.tokens
         self._waiters: dict[AccountName, collections.deque[Waiter]] = {}
@@ -65,7 +64,7 @@
             return _ADMITTED
         wait_s = self._tokens.none_for_s(account, now)
         if wait_s > _wait_max_s(now, deadline):
-            return Exceeded(wait_s=wait_s)
+            return _exceeded(wait_s)
         return None
 
     def wait(
@@ -80,7 +79,6 @@
         waiter = Waiter(account=account, until=until, done=done)
         self._waiters.setdefault(account, collections.deque()).append(waiter)
         self._count(account)
-        self.waited += 1
         has_none = self._tokens.none_for_s(account, now) > 0
         self._post([] if has_none else self.client.ask(now), now)
         return waiter
@@ -114,7 +112,7 @@
         for account in list(self._waiters):
             for waiter in self._waiters.pop(account):
                 waiter.done(_ADMITTED)
-        self._tokens.clear()
+        self.client.suspend()
 
     def _post(self, outgoing: list[Outgoing], now: float) -> None:
         for address, report in outgoing:
@@ -138,7 +136,7 @@
         for waiter in list(rows):
             if now >= waiter.until or now + wait_s > waiter.until:
                 rows.remove(waiter)
-                waiter.done(Exceeded(wait_s=max(RETRY_S, wait_s)))
+                waiter.done(_exceeded(wait_s))
         if rows:
             self.client.ask_at(now + wait_s)
 
@@ -148,6 +146,13 @@
             row.waiting = len(self._waiters.get(account, ()))
 
 
+def _exceeded(wait_s: float) -> Exceeded:
+    """Return the outcome if there are no tokens, for a time if it is known."""
+    if wait_s > 0:
+        return Exceeded(wait_s=wait_s)
+    return Exceeded(wait_s=RETRY_S, reason=QuotaReason.NO_ANSWER)
+
+
 def _wait_max_s(now: float, deadline: float) -> float:
     """Return how long a request may wait for a token."""
     return min(WAIT_MAX_S, WAIT_PART * max(0.0, deadline - now))
--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -142,6 +142,12 @@
         if self.current not in self._machines:
             self._fail("not registered any more", now)
 
+    def suspend(self) -> None:
+        """Drop all tokens and expect no answer; the next tick goes on."""
+        self.tokens.clear()
+        self._sent = None
+        self._silent_since = None
+
     def tick(self, now: float) -> list[Outgoing]:
         """Return the messages that are due."""
         self._check_answer(now)
@@ -266,7 +272,8 @@
         machine = self._machines.get(name)
         if machine is None or name == self.current:
             return False
-        if _rank(machine) > _rank(self.me):
+        is_behind = _rank(machine) > _rank(self.me)
+        if is_behind and not self._own.is_leaving:
             return False
         if self._is_avoided(self.current, now):
             return True
--- a/chiverun/core/quotacoordinator.py
+++ b/chiverun/core/quotacoordinator.py
@@ -27,8 +27,8 @@
 from chiverun.core.quotashares import START_PART
 from chiverun.core.quotatokens import token_life_s
 
-# Part of the capacity above which much is left, and below which lease holders
-# return what they will not need soon.
+# Part of the capacity above which much is left, if it is more than the burst,
+# and below which lease holders return what they will not need soon.
 AMPLE_PART = 0.5
 SCARCE_PART = 0.25
 # Lease holders keep what they have for this time after an instance has begun
@@ -82,10 +82,11 @@
 class Bucket:
     """Tokens of one account; `fraction` is the delegated part of its limit.
 
-    `per_s`, `capacity` and `start` are of the whole limit.
+    `per_s`, `burst`, `capacity` and `start` are of the whole limit.
     """
 
     per_s: float
+    burst: float
     capacity: float
     start: float
     owners: frozenset[InstanceId]
@@ -193,6 +194,7 @@
                 del self.buckets[name]
                 continue
             bucket.per_s = account.per_s
+            bucket.burst = account.burst
             bucket.capacity = capacity_of(account, self._bounds)
             bucket.start = START_PART * excess_of(account, self._bounds)
             self._reshare(name, bucket)
@@ -349,6 +351,7 @@
         owners = self._shares.owners(account.name, capacity)
         bucket = Bucket(
             per_s=account.per_s,
+            burst=account.burst,
             capacity=capacity,
             start=start,
             owners=owners,
@@ -441,13 +444,13 @@
     """Return the tokens to add to those held, negative to have some back.
 
     Requests that wait and steady demand may use up the bucket, a stock only
-    what is above half of the capacity. So a request of an account that is
-    seldom used finds a token at any instance.
+    what exceeds the burst and half of the capacity. So a request of an account
+    that is seldom used finds a token at any instance.
     """
-    steady = int(demand.expected + 0.5)
+    steady = int(demand.expected)
     firm = max(0, demand.waiting + steady - demand.held)
     left = int(bucket.level)
-    ample = AMPLE_PART * bucket.limit
+    ample = max(AMPLE_PART * bucket.capacity, bucket.burst) * bucket.fraction
     if firm > left:
         return left
     stock = demand.waiting + max(math.ceil(demand.stock), steady)
--- a/chiverun/core/quotashares.py
+++ b/chiverun/core/quotashares.py
@@ -20,7 +20,7 @@
 # records of the fleet add up to more than the limit for a moment.
 START_PART = 0.25
 # An instance with less capacity could never hold a whole token.
-CAPACITY_PER_SHARE = 2.0
+CAPACITY_PER_SHARE = 1.25
 
 
 def excess_of(account: ClientAccount, bounds: EdgeBounds) -> float:
--- a/tests/core/quotafleet.py
+++ b/tests/core/quotafleet.py
@@ -200,6 +200,10 @@
         self.sent_by: collections.Counter[str] = collections.Counter()
         self._measures_bytes = measures_bytes
         self._side: Callable[[Machine], object] = lambda machine: None
+        # Whether messages from one instance to another are lost.
+        self.blocks: Callable[[Machine, Machine], bool] = (
+            lambda sender, receiver: False
+        )
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self.instances: dict[str, Instance] = {}
@@ -244,6 +248,7 @@
     def heal(self) -> None:
         """End a partition."""
         self._side = lambda machine: None
+        self.blocks = lambda sender, receiver: False
 
     def at(self, time_s: float, action: Callable[[], None]) -> None:
         """Run an action at a time."""
@@ -263,7 +268,9 @@
         self.sent_by[sender.machine.name] += 1
         if self._measures_bytes:
             self.bytes += len(edgemessages.encode(message))
-        is_cut = self._side(sender.machine) != self._side(receiver.machine)
+        is_cut = self._side(sender.machine) != self._side(
+            receiver.machine
+        ) or self.blocks(sender.machine, receiver.machine)
         if is_cut or self.rng.random() < self.loss:
             return
         is_near = sender.machine.region == receiver.machine.region
