--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -119,9 +119,7 @@
 _Amount = Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)]
 
 
-class QuotaDemand(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class QuotaDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Demand of an account at an instance, in tokens.
 
     `waiting` requests have found none, `expected` come soon. The instance
@@ -160,9 +158,7 @@
     ] = []
 
 
-class QuotaTokens(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class QuotaTokens(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Tokens to add to those held, negative for some to return.
 
     `wait_s` is the expected time until there are more, 0 if that is open.
--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -52,13 +52,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CoordinatorChange:
-    """Another instance is this one's coordinator now."""
+    """Another instance is this one's coordinator now.
+
+    The previous one had been used for `used_s`, and silent for `silent_s`;
+    `instances` is the size of the fleet.
+    """
 
     coordinator: InstanceId
     previous: InstanceId
     reason: str
     silent_s: float
-    candidates: int
+    used_s: float
+    instances: int
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -142,6 +147,11 @@
         if self.current not in self._machines:
             self._fail("not registered any more", now)
 
+    def answer_age_s(self, now: float) -> float | None:
+        """Return the time since the coordinator's last answer."""
+        echo = self._echoes.get(self.current)
+        return None if echo is None else round(now - echo.received_at, 3)
+
     def suspend(self) -> None:
         """Drop all tokens and expect no answer; the next tick goes on."""
         self.tokens.clear()
@@ -215,9 +225,7 @@
             self._search(now)
         return self._report(now) if is_new else []
 
-    def _receive_hello(
-        self, grant: QuotaGrant, now: float
-    ) -> list[Outgoing]:
+    def _receive_hello(self, grant: QuotaGrant, now: float) -> list[Outgoing]:
         if grant.number == self._release_number:
             # The confirmation that the share is no longer used there.
             self._release_number = None
@@ -286,13 +294,17 @@
         if name == self.current:
             return []
         previous = self.current
+        silent_s = 0.0
+        if self._silent_since is not None:
+            silent_s = now - self._silent_since
         self.changes.append(
             CoordinatorChange(
                 coordinator=name,
                 previous=previous,
                 reason=reason,
-                silent_s=now - (self._silent_since or now),
-                candidates=self._size,
+                silent_s=silent_s,
+                used_s=now - self._since,
+                instances=self._size,
             )
         )
         self.current = name
@@ -328,9 +340,7 @@
         ]
         for number in expired:
             del self._hellos[number]
-        names = [
-            m.name for m in self._order if self._is_before(m.name, now)
-        ]
+        names = [m.name for m in self._order if self._is_before(m.name, now)]
         names = [name for name in names if not self._is_avoided(name, now)]
         first = self._search_from if self._search_from < len(names) else 0
         if self._is_searching:
@@ -385,17 +395,13 @@
             starts_filled=starts_filled,
             demands=self.tokens.demands(now, period_s),
         )
-        self._sent = _Sent(
-            number=self._number, receiver=self.current, at=now
-        )
+        self._sent = _Sent(number=self._number, receiver=self.current, at=now)
         if self.current != self.me.name:
             return [(self._machines[self.current].peer, report)]
         grant = self._own.handle(report, now)
         return self.receive(grant, now) if grant is not None else []
 
-    def _delegate(
-        self, echo: _Echo | None, now: float
-    ) -> tuple[float, bool]:
+    def _delegate(self, echo: _Echo | None, now: float) -> tuple[float, bool]:
         """Return for how long the share is delegated from now on."""
         if self._deposit_to != self.current and now < self._deposit_end:
             self._report_at = min(self._report_at, self._deposit_end)
--- a/chiverun/core/quotacoordinator.py
+++ b/chiverun/core/quotacoordinator.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-import math
+import heapq
 from collections.abc import Collection
 from collections.abc import Mapping
 
@@ -21,16 +21,16 @@
 from chiverun.core.ids import AccountName
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
+from chiverun.core.quotabucket import Bucket
+from chiverun.core.quotabucket import DepositChange
+from chiverun.core.quotabucket import Lease
+from chiverun.core.quotabucket import SCARCE_PART
 from chiverun.core.quotashares import capacity_of
 from chiverun.core.quotashares import excess_of
 from chiverun.core.quotashares import ShareTable
 from chiverun.core.quotashares import START_PART
 from chiverun.core.quotatokens import token_life_s
 
-# Part of the capacity above which much is left, if it is more than the burst,
-# and below which lease holders return what they will not need soon.
-AMPLE_PART = 0.5
-SCARCE_PART = 0.25
 # Lease holders keep what they have for this time after an instance has begun
 # to delegate its share: the others that change their coordinator will follow.
 SETTLED_S = 1.5
@@ -38,8 +38,6 @@
 BUCKET_IDLE_S = 30.0
 # Time to return for accounts whose limit this coordinator does not know.
 UNKNOWN_WAIT_S = 0.5
-WAIT_MIN_S = 0.02
-WAIT_MAX_S = 10.0
 _CHANGES_MAX = 2000
 
 
@@ -60,91 +58,20 @@
     accounts: set[AccountName] = dataclasses.field(default_factory=set)
 
 
-@dataclasses.dataclass(kw_only=True)
-class Lease:
-    """Tokens of an account that a lease holder has, and lacks."""
-
-    tokens: int = 0
-    unmet: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class _Change:
-    """An instance that begins or ceases to delegate its share."""
-
-    at: float
-    holder: InstanceId
-    sign: int
-    starts_filled: bool = False
-
-
-@dataclasses.dataclass(kw_only=True)
-class Bucket:
-    """Tokens of one account; `fraction` is the delegated part of its limit.
+class Exhaustion:
+    """An account that has run out of tokens, or has some again.
 
-    `per_s`, `burst`, `capacity` and `start` are of the whole limit.
+    `since_s` is the time since the change before.
     """
 
-    per_s: float
-    burst: float
-    capacity: float
-    start: float
-    owners: frozenset[InstanceId]
-    fraction: float
-    level: float
-    updated_at: float
-    used_at: float
-    changes_seen: int
-    outstanding: int = 0
-    unmet: float = 0.0
-    is_exhausted: bool = False
-    leases: dict[InstanceId, Lease] = dataclasses.field(default_factory=dict)
-
-    @property
-    def limit(self) -> float:
-        """Return the capacity of the delegated shares."""
-        return self.capacity * self.fraction
-
-    def accrue(self, now: float) -> None:
-        """Add the tokens of the time since the last update."""
-        elapsed_s = max(0.0, now - self.updated_at)
-        self.level += elapsed_s * self.per_s * self.fraction
-        self.updated_at = max(self.updated_at, now)
-        self.clip()
-
-    def clip(self) -> None:
-        """Drop tokens above the capacity."""
-        self.level = min(self.level, max(0.0, self.limit - self.outstanding))
-
-    def apply(self, change: _Change) -> None:
-        """Change the delegated part."""
-        if change.holder not in self.owners:
-            return
-        self.accrue(change.at)
-        part = 1 / len(self.owners)
-        self.fraction = max(0.0, self.fraction + change.sign * part)
-        if change.starts_filled:
-            self.level += self.start * part
-        self.clip()
-
-    def wait_s(self) -> float:
-        """Return the expected time until a token is left."""
-        rate = self.per_s * self.fraction
-        if rate <= 0:
-            return WAIT_MAX_S
-        missing = max(0.0, self.unmet + 1.0 - self.level)
-        return min(WAIT_MAX_S, max(WAIT_MIN_S, missing / rate))
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Exhaustion:
-    """An account that has run out of tokens, or has some again."""
-
     account: AccountName
     is_exhausted: bool
     level: float
     outstanding: int
+    unmet: float
     fraction: float
+    since_s: float
 
 
 class QuotaCoordinator:
@@ -170,7 +97,7 @@
         self._accounts: Mapping[AccountName, ClientAccount] = {}
         self._shares = ShareTable(())
         self._holders: dict[InstanceId, _Holder] = {}
-        self._changes: list[_Change] = []
+        self._changes: list[DepositChange] = []
         self._next_end = float("inf")
         self._swept_at = float("-inf")
         self._joined_at = float("-inf")
@@ -203,16 +130,14 @@
         """End the delegation of an instance's share."""
         self._expire(now)
         if self.deposits.pop(holder, None) is not None:
-            self._changes.append(_Change(at=now, holder=holder, sign=-1))
+            self._changes.append(DepositChange(at=now, holder=holder, sign=-1))
 
     def handle(self, report: QuotaReport, now: float) -> QuotaGrant | None:
         """Return the answer to a report, None if a later one has come."""
         self._expire(now)
         holder = self._holders.get(report.sender)
         if holder is None or holder.boot_id != report.boot_id:
-            holder = _Holder(
-                boot_id=report.boot_id, number=0, reported_at=now
-            )
+            holder = _Holder(boot_id=report.boot_id, number=0, reported_at=now)
             self._forget(report.sender)
             self._holders[report.sender] = holder
         if report.number <= holder.number:
@@ -237,6 +162,34 @@
             ],
         )
 
+    def leased(
+        self, count: int, now: float
+    ) -> dict[AccountName, dict[InstanceId, tuple[int, float]]]:
+        """Return who holds most tokens of the accounts with most leased.
+
+        With each holder come its tokens and the age of its report in seconds.
+        """
+        most = heapq.nlargest(
+            count,
+            self.buckets,
+            key=lambda name: self.buckets[name].outstanding,
+        )
+        return {
+            account: {
+                holder: (
+                    lease.tokens,
+                    round(now - self._holders[holder].reported_at, 3),
+                )
+                for holder, lease in heapq.nlargest(
+                    count,
+                    self.buckets[account].leases.items(),
+                    key=lambda item: item[1].tokens,
+                )
+                if lease.tokens and holder in self._holders
+            }
+            for account in most
+        }
+
     def _record_deposit(self, report: QuotaReport, now: float) -> None:
         """Use an instance's share as long as it delegates it.
 
@@ -262,7 +215,7 @@
             self._next_end = min(self._next_end, end)
             self._joined_at = now
             self._changes.append(
-                _Change(
+                DepositChange(
                     at=now,
                     holder=report.sender,
                     sign=1,
@@ -282,17 +235,15 @@
                 wait_s=UNKNOWN_WAIT_S,
             )
         lease = bucket.leases.setdefault(holder, Lease())
-        self._settle(bucket, lease, demand)
-        tokens = _tokens_for(bucket, demand)
+        bucket.settle(lease, demand)
+        tokens = bucket.tokens_for(demand)
         if tokens < 0 and now - self._joined_at < SETTLED_S:
             tokens = 0
         granted = max(0, tokens)
         bucket.level -= granted
         bucket.outstanding += granted
         lease.tokens = demand.held + granted
-        lease.unmet = max(
-            0.0, demand.waiting + demand.expected - lease.tokens
-        )
+        lease.unmet = max(0.0, demand.waiting + demand.expected - lease.tokens)
         bucket.unmet += lease.unmet
         is_short = bucket.level < 1 and lease.tokens <= demand.waiting
         self._note_exhaustion(demand.account, bucket, is_short)
@@ -302,16 +253,6 @@
             wait_s=bucket.wait_s() if is_short else 0.0,
         )
 
-    def _settle(
-        self, bucket: Bucket, lease: Lease, demand: QuotaDemand
-    ) -> None:
-        """Apply what a lease holder still has and what it returns."""
-        spent = lease.tokens - demand.held
-        bucket.outstanding -= spent
-        bucket.level += min(demand.returned, max(0, spent))
-        bucket.unmet = max(0.0, bucket.unmet - lease.unmet)
-        bucket.clip()
-
     def _note_exhaustion(
         self, account: AccountName, bucket: Bucket, is_short: bool
     ) -> None:
@@ -321,13 +262,17 @@
             is_exhausted = is_short and bucket.level < 1
         if is_exhausted != bucket.is_exhausted:
             bucket.is_exhausted = is_exhausted
+            since_s = bucket.updated_at - bucket.changed_at
+            bucket.changed_at = bucket.updated_at
             self.exhaustions.append(
                 Exhaustion(
                     account=account,
                     is_exhausted=is_exhausted,
                     level=bucket.level,
                     outstanding=bucket.outstanding,
+                    unmet=bucket.unmet,
                     fraction=bucket.fraction,
+                    since_s=since_s,
                 )
             )
 
@@ -359,6 +304,7 @@
             level=0.0,
             updated_at=now,
             used_at=now,
+            changed_at=now,
             changes_seen=len(self._changes),
         )
         for holder in owners & self.deposits.keys():
@@ -408,7 +354,7 @@
         )
         for end, holder in ended:
             del self.deposits[holder]
-            self._changes.append(_Change(at=end, holder=holder, sign=-1))
+            self._changes.append(DepositChange(at=end, holder=holder, sign=-1))
         self._next_end = min(
             (deposit.end for deposit in self.deposits.values()),
             default=float("inf"),
@@ -438,30 +384,3 @@
         if lease is not None:
             bucket.outstanding -= lease.tokens
             bucket.unmet = max(0.0, bucket.unmet - lease.unmet)
-
-
-def _tokens_for(bucket: Bucket, demand: QuotaDemand) -> int:
-    """Return the tokens to add to those held, negative to have some back.
-
-    Requests that wait and steady demand may use up the bucket, a stock only
-    what exceeds the burst and half of the capacity. So a request of an account
-    that is seldom used finds a token at any instance.
-    """
-    steady = int(demand.expected)
-    firm = max(0, demand.waiting + steady - demand.held)
-    left = int(bucket.level)
-    ample = max(AMPLE_PART * bucket.capacity, bucket.burst) * bucket.fraction
-    if firm > left:
-        return left
-    stock = demand.waiting + max(math.ceil(demand.stock), steady)
-    wanted = max(0, stock - demand.held - firm)
-    extra = min(wanted, max(0, int(bucket.level - firm - ample)))
-    if firm + extra:
-        return firm + extra
-    is_scarce = bucket.level < SCARCE_PART * bucket.limit
-    is_over = bucket.outstanding > bucket.limit
-    if is_scarce or is_over:
-        keep = demand.waiting + steady
-    else:
-        keep = stock + max(2, stock)
-    return min(0, keep - demand.held)
--- a/chiverun/core/quotatokens.py
+++ b/chiverun/core/quotatokens.py
@@ -1,6 +1,7 @@
 """Tokens of client accounts that an instance holds."""
 
 import dataclasses
+import heapq
 import math
 
 from chiverun.core.edgemessages import QUOTA_ROWS_MAX
@@ -147,6 +148,16 @@
                 row.returned += returned
             row.none_before = now + granted.wait_s
 
+    def held(self, count: int, now: float) -> dict[AccountName, int]:
+        """Return the accounts with most tokens here, and these."""
+        valid = {
+            account: row.tokens
+            for account, row in self.rows.items()
+            if row.tokens > 0 and now < row.expires_at
+        }
+        most = heapq.nlargest(count, valid, key=lambda name: valid[name])
+        return {account: valid[account] for account in most}
+
     def clear(self) -> None:
         """Drop all tokens."""
         self.rows.clear()
--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -26,7 +26,8 @@
 # Limit of the send queue; the oldest messages are dropped first.
 OUTBOX_BYTES_MAX = 32 * 1024 * 1024
 _OUTBOX_MESSAGES_MAX = 4096
-_CONNECTIONS_MAX = 256
+# More than the instances of a large fleet: a quota coordinator answers all.
+_CONNECTIONS_MAX = 512
 _RECEIVED_AT_ONCE_MAX = 256
 _IDLE_TIMEOUT_S = 60.0
 _POLL_MS = 500
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -22,7 +22,6 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import ZoneName
-from chiverun.core.quota import Unlimited
 from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.asyncserver import Handler
 from chiverun.integrations.asyncserver import IncomingRequest
@@ -40,6 +39,7 @@
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.limitexchange import LimitExchange
 from chiverun.runtime.loopwatch import LoopWatch
+from chiverun.runtime.quotaexchange import QuotaExchange
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import Sender
 from chiverun.runtime.servertable import ServerTable
@@ -101,6 +101,7 @@
             on_change=self._apply_catalog,
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
+            on_quota=lambda message: self._quotas.receive(message),
             usage=turns.usage,
         )
         self.metrics = EdgeMetrics()
@@ -115,6 +116,13 @@
         self._suspects = SuspectExchange(
             suspects=suspects, table=self.follower.table, peers=self._peers
         )
+        self._quotas = QuotaExchange(
+            me=self._me,
+            boot_id=self._boot_id,
+            bounds=cfg.bounds,
+            peers=self._peers,
+            metrics=self.metrics,
+        )
         selector = Selector(
             table=self._servers,
             region=cfg.region,
@@ -140,7 +148,7 @@
             stop_progress=self._stop_progress,
             suspects=suspects,
             on_end=self._suspects.record_end,
-            quotas=Unlimited(),
+            quotas=self._quotas,
         )
         self._cold_checks = ColdChecks(
             table=self._servers,
@@ -217,6 +225,7 @@
         self._start_task("beat", self.follower.send_heartbeats_forever)
         self._start_task("cold", self._cold_checks.check_forever)
         self._start_task("limits", self._limits.send_forever)
+        self._start_task("quotas", self._quotas.run_forever)
         self._start_task("loop", self._loop_watch.watch_forever)
         _LOG.info(
             "started",
@@ -254,6 +263,7 @@
         self._stopping.set()
         self._entry.closing = True
         self.follower.leave()
+        self._quotas.leave()
         _LOG.info("stop requested", extra={"active": self._entry.active()})
 
     async def _drain(self) -> None:
@@ -330,11 +340,13 @@
         state = self.follower.replica.desired_state()
         if state is None:
             return
+        self._quotas.set_fleet(self.follower.table.fleet())
         routes = self._steering.routes
         if routes is None or routes.version != state.version:
             routes = RouteTable.of(state)
             self._steering.routes = routes
             self._steering.callers.accounts = AccountTable(state.accounts)
+            self._quotas.set_accounts(state.accounts)
             self._entry.limits = routes.limits
             _LOG.info(
                 "desired state in force", extra={"version": state.version}
--- a/chiverun/runtime/edgemetrics.py
+++ b/chiverun/runtime/edgemetrics.py
@@ -66,6 +66,14 @@
         self.suspects_refused = meter.create_counter(
             "chiverun.requests.suspects_refused"
         )
+        # Requests over the limits of client accounts, by reason, and those
+        # that waited for a token.
+        self.quota_refused = meter.create_counter(
+            "chiverun.requests.quota_refused"
+        )
+        self.quota_waited = meter.create_counter(
+            "chiverun.requests.quota_waited"
+        )
         self.unexpected_errors = meter.create_counter(
             "chiverun.unexpected_errors"
         )
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -20,6 +20,8 @@
 from chiverun.core.edgemessages import Heartbeat
 from chiverun.core.edgemessages import LimitReports
 from chiverun.core.edgemessages import Pull
+from chiverun.core.edgemessages import QuotaGrant
+from chiverun.core.edgemessages import QuotaReport
 from chiverun.core.edgemessages import Snapshot
 from chiverun.core.edgemessages import SuspectReport
 from chiverun.core.edgemessages import Update
@@ -74,6 +76,7 @@
         on_change: Callable[[], None],
         on_limits: Callable[[LimitReports], None],
         on_suspect: Callable[[SuspectReport], None],
+        on_quota: Callable[[QuotaReport | QuotaGrant], None] | None = None,
         usage: LoopUsage | None = None,
     ) -> None:
         self.replica = Replica()
@@ -89,6 +92,7 @@
         self._on_change = on_change
         self._on_limits = on_limits
         self._on_suspect = on_suspect
+        self._on_quota = on_quota
         self._rng = random.Random(boot_id)
         self._loop = asyncio.get_running_loop()
         self._inbox = Inbox(receive=self._receive, usage=usage)
@@ -349,6 +353,9 @@
                 self._on_limits(message)
             case SuspectReport():
                 self._on_suspect(message)
+            case QuotaReport() | QuotaGrant():
+                if self._on_quota is not None:
+                    self._on_quota(message)
             case Snapshot():
                 if message.as_of > self.replica.as_of:
                     self._apply_listing(message.items, message.as_of, "peer")
