--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -21,13 +21,14 @@
 from chiverun.core.quotatokens import TokenCache
 
 # Time for which a share is delegated, at least, and in periods.
-DEPOSIT_LIFE_S = 1.0
+DEPOSIT_LIFE_S = 0.8
 DEPOSIT_LIFE_PERIODS = 2.5
 # A report is repeated after this time without an answer. It is longer than
 # two round trips between regions.
-ANSWER_S = 0.25
-# Another coordinator is used after this time without an answer.
-SILENT_S = 0.6
+ANSWER_S = 0.28
+# Another coordinator is used after this time without an answer, which is that
+# of two reports.
+SILENT_S = 0.55
 # Candidates are asked in groups, each twice as large as the one before.
 SEARCH_PERIOD_S = 0.2
 SEARCH_FIRST = 4
@@ -134,7 +135,7 @@
         self._search_size = SEARCH_FIRST
         # An earlier process of this instance may have delegated the share.
         self._deposit_to: InstanceId | None = None
-        self._deposit_end = now + DEPOSIT_LIFE_PERIODS * DEPOSIT_LIFE_S
+        self._deposit_end = now + DEPOSIT_LIFE_S
         self._start_period_s = START_PERIODS * window_s
         self._started_at = now
 
@@ -247,7 +248,7 @@
 
     def _check_answer(self, now: float) -> None:
         sent = self._sent
-        if sent is None or now - sent.at < ANSWER_S:
+        if sent is None or now < sent.at + ANSWER_S:
             return
         self._sent = None
         self._report_at = now
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -64,6 +64,30 @@
     ),
     edgemessages.Pull(reply_to="10.0.0.1:1", as_of=2),
     edgemessages.Snapshot(as_of=6, items=[_ITEM]),
+    edgemessages.QuotaReport(
+        sender="m1",
+        reply_to="10.0.0.1:1",
+        boot_id="l1",
+        number=1,
+        demands=[
+            edgemessages.QuotaDemand(
+                account="a",
+                held=1,
+                returned=0,
+                waiting=1,
+                expected=0.5,
+                stock=1.0,
+            )
+        ],
+    ),
+    edgemessages.QuotaGrant(
+        sender="m1",
+        boot_id="l1",
+        receiver="l2",
+        number=1,
+        sent_at=1.0,
+        tokens=[edgemessages.QuotaTokens(account="a", tokens=1, wait_s=0.0)],
+    ),
 )
 _STORE_BODY = {
     "storeRevision": 9,
--- a/tests/core/test_edgemessages.py
+++ b/tests/core/test_edgemessages.py
@@ -14,6 +14,10 @@
 from chiverun.core.edgemessages import LimitReport
 from chiverun.core.edgemessages import LimitReports
 from chiverun.core.edgemessages import Pull
+from chiverun.core.edgemessages import QuotaDemand
+from chiverun.core.edgemessages import QuotaGrant
+from chiverun.core.edgemessages import QuotaReport
+from chiverun.core.edgemessages import QuotaTokens
 from chiverun.core.edgemessages import Snapshot
 from chiverun.core.replica import VersionedRecord
 
@@ -51,6 +55,33 @@
     return LimitReports(sender="m1", reports=[report])
 
 
+def _report(**changes) -> QuotaReport:
+    """Return a report about one account; `changes` are of its demand."""
+    values = {"held": 1, "returned": 0, "waiting": 2}
+    values |= {"expected": 0.5, "stock": 1.0, **changes}
+    demand = QuotaDemand(account="a", **values)
+    return QuotaReport(
+        sender="m1",
+        reply_to="10.0.0.1:7",
+        boot_id="l1",
+        number=3,
+        demands=[demand],
+    )
+
+
+def _grant(tokens: int, wait_s: float) -> QuotaGrant:
+    """Return a grant for one account."""
+    row = QuotaTokens(account="a", tokens=tokens, wait_s=wait_s)
+    return QuotaGrant(
+        sender="m1",
+        boot_id="l1",
+        receiver="l2",
+        number=3,
+        sent_at=1.0,
+        tokens=[row],
+    )
+
+
 class CodecTest(unittest.TestCase):
     @params(
         Pull(reply_to="10.0.0.1:7", as_of=3),
@@ -58,6 +89,8 @@
         _snapshot(1400),
         _limits(5.5, 0.25),
         _limits(None, 30.0),
+        _report(),
+        _grant(-3, 0.0),
     )
     def test_messages_survive_the_codec(self, message) -> None:
         """Guards against messages of a size that cannot be decoded."""
@@ -83,6 +116,12 @@
         edgemessages.encode(_limits(float("inf"), 0.0)),
         edgemessages.encode(_limits(float("nan"), 0.0)),
         edgemessages.encode(_limits(5.0, -1.0)),
+        edgemessages.encode(_report(held=-1)),
+        edgemessages.encode(_report(returned=10**10)),
+        edgemessages.encode(_report(expected=float("nan"))),
+        edgemessages.encode(_report(stock=float("inf"))),
+        edgemessages.encode(_grant(10**10, 0.0)),
+        edgemessages.encode(_grant(1, -0.1)),
     )
     def test_malformed_message_is_rejected(self, payload) -> None:
         """Guards against an exception that ends the receiving thread."""
