--- a/chiverun/core/quotatokens.py
+++ b/chiverun/core/quotatokens.py
@@ -112,16 +112,20 @@
         recent = sorted(
             self.rows.items(), key=lambda item: item[1].used_at, reverse=True
         )
-        for number, (account, row) in enumerate(recent):
+        for account, row in recent:
             if now >= row.expires_at:
                 row.tokens = 0
+            is_new = row.requests > 0
             _count(row, now)
             demand = _demand(account, row, period_s, now)
             is_over = not demand.stock and not demand.returned
-            if is_over or number >= QUOTA_ROWS_MAX:
+            if is_over or len(demands) >= QUOTA_ROWS_MAX:
                 # The coordinator takes what is not reported for spent.
                 del self.rows[account]
                 continue
+            has_tokens = demand.held or demand.returned
+            if not (is_new or has_tokens or _is_wanted(demand)):
+                continue
             row.returned = 0
             demands.append(demand)
         return demands
@@ -183,6 +187,11 @@
     )
 
 
+def _is_wanted(demand: QuotaDemand) -> bool:
+    """Return whether tokens are needed soon."""
+    return demand.waiting > 0 or demand.expected >= 1
+
+
 def _count(row: HeldTokens, now: float) -> None:
     """Update the demand estimate with the requests since the last report."""
     elapsed_s = now - row.counted_at
--- a/tests/core/quotafleet.py
+++ b/tests/core/quotafleet.py
@@ -198,6 +198,7 @@
         self.messages = 0
         self.bytes = 0
         self.sent_by: collections.Counter[str] = collections.Counter()
+        self.bytes_by: collections.Counter[str] = collections.Counter()
         self._measures_bytes = measures_bytes
         self._side: Callable[[Machine], object] = lambda machine: None
         # Whether messages from one instance to another are lost.
@@ -267,7 +268,9 @@
         self.messages += 1
         self.sent_by[sender.machine.name] += 1
         if self._measures_bytes:
-            self.bytes += len(edgemessages.encode(message))
+            size = len(edgemessages.encode(message))
+            self.bytes += size
+            self.bytes_by[sender.machine.name] += size
         is_cut = self._side(sender.machine) != self._side(
             receiver.machine
         ) or self.blocks(sender.machine, receiver.machine)
@@ -280,6 +283,12 @@
             lambda: receiver.run(lambda: receiver.receive(message)),
         )
 
+    def reset_counts(self) -> None:
+        """Count messages and bytes anew."""
+        self.messages = self.bytes = 0
+        self.sent_by.clear()
+        self.bytes_by.clear()
+
     def load(
         self,
         account: str,
--- a/tests/core/test_quotaclient.py
+++ b/tests/core/test_quotaclient.py
@@ -64,6 +64,14 @@
         self.assertEqual([], cache.demands(11.3, 0.25))
         self.assertEqual({}, cache.rows)
 
+    def test_account_without_tokens_or_demand_is_not_reported(self):
+        """Guards against reports of all accounts that were ever used."""
+        cache = _cache(0)
+        self.assertEqual(1, len(cache.demands(0.5, 0.25)))
+        self.assertEqual([], cache.demands(0.75, 0.25))
+        cache.take("a", 0.8)
+        self.assertEqual(1, len(cache.demands(1.0, 0.25)))
+
     @params((8, 0.25), (100, 0.25), (101, 0.5), (300, 0.75))
     def test_period_grows_with_the_fleet(self, instances, period_s):
         """Guards against a coordinator that a large fleet overloads."""
