Let tokens accrue for shares that nobody has used

With the first limit declared in a running fleet all buckets were empty, so the first requests were refused (tests.adapter.test_accounts). A report now says for how long the share was with nobody. Accounts without tokens are reported while they are refused, so that a long wait told by a coordinator that had just begun ends with the next grant.

--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -140,8 +140,8 @@
     `number` grows with each report of a process. The echo is of the last
     grant that has come from the receiver, `echo_age_s` ago. For `share_s`
     after sending, the receiver may use the sender's share of all limits; 0
-    ends an earlier delegation. With `starts_filled` its buckets need not
-    start empty.
+    ends an earlier delegation. Nobody has used the share for `unused_s`. With
+    `starts_filled` its buckets need not start empty.
     """
 
     sender: InstanceId
@@ -152,6 +152,7 @@
     echo_sent_at: _Amount = 0.0
     echo_age_s: _Amount = 0.0
     share_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
+    unused_s: _Amount = 0.0
     starts_filled: bool = False
     demands: Annotated[
         list[QuotaDemand], msgspec.Meta(max_length=QUOTA_ROWS_MAX)
--- a/chiverun/core/quotabucket.py
+++ b/chiverun/core/quotabucket.py
@@ -24,11 +24,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class DepositChange:
-    """An instance that begins or ceases to delegate its share."""
+    """An instance that begins or ceases to delegate its share.
+
+    Nobody has used it for `unused_s`.
+    """
 
     at: float
     holder: InstanceId
     sign: int
+    unused_s: float = 0.0
     starts_filled: bool = False
 
 
@@ -78,10 +82,16 @@
         self.accrue(change.at)
         part = 1 / len(self.owners)
         self.fraction = max(0.0, self.fraction + change.sign * part)
-        if change.starts_filled:
-            self.level += self.start * part
+        if change.sign > 0:
+            filled = self.filled(change.unused_s, change.starts_filled)
+            self.level += filled * part
         self.clip()
 
+    def filled(self, unused_s: float, starts_filled: bool) -> float:
+        """Return the tokens of the whole limit after a time without use."""
+        start = self.start if starts_filled else 0.0
+        return min(self.capacity, self.per_s * unused_s + start)
+
     def wait_s(self) -> float:
         """Return the expected time until a token is left."""
         rate = self.per_s * self.fraction
--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -118,6 +118,7 @@
         self._order: list[Machine] = [me]
         self._machines: dict[InstanceId, Machine] = {me.name: me}
         self._size = 1
+        self._fleet_at = now
         self._number = 0
         self._sent: _Sent | None = None
         self._hellos: dict[int, _Sent] = {}
@@ -143,8 +144,12 @@
         """Set the registered instances."""
         others = [m for m in machines if m.name != self.me.name]
         self._order = sorted([*others, self.me], key=_rank)
+        known = self._machines.keys()
         self._machines = {m.name: m for m in self._order}
         self._size = len(self._order)
+        if self._machines.keys() != known:
+            # Others may have used what is now this instance's share.
+            self._fleet_at = now
         if self.current not in self._machines:
             self._fail("not registered any more", now)
 
@@ -383,6 +388,7 @@
         self._report_at = now + period_s
         self._reported_at = now
         echo = self._echoes.get(self.current)
+        unused_s = max(0.0, now - max(self._deposit_end, self._fleet_at))
         share_s, starts_filled = self._delegate(echo, now)
         report = QuotaReport(
             sender=self.me.name,
@@ -393,6 +399,7 @@
             echo_sent_at=echo.sent_at if echo else 0.0,
             echo_age_s=now - echo.received_at if echo else 0.0,
             share_s=share_s,
+            unused_s=unused_s if share_s else 0.0,
             starts_filled=starts_filled,
             demands=self.tokens.demands(now, period_s),
         )
--- a/chiverun/core/quotacoordinator.py
+++ b/chiverun/core/quotacoordinator.py
@@ -43,7 +43,10 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Deposit:
-    """The share that an instance delegates; times are monotonic seconds."""
+    """The share that an instance delegates; times are monotonic seconds.
+
+    Tokens of it have accrued since `start`.
+    """
 
     start: float
     end: float
@@ -126,6 +129,11 @@
             bucket.start = START_PART * excess_of(account, self._bounds)
             self._reshare(name, bucket)
 
+    @property
+    def has_accounts(self) -> bool:
+        """Return whether any account has a limit here."""
+        return bool(self._accounts)
+
     def release(self, holder: InstanceId, now: float) -> None:
         """End the delegation of an instance's share."""
         self._expire(now)
@@ -210,7 +218,9 @@
             deposit.end = max(deposit.end, end)
         elif end > now:
             self.deposits[report.sender] = Deposit(
-                start=now, end=end, starts_filled=report.starts_filled
+                start=now - report.unused_s,
+                end=end,
+                starts_filled=report.starts_filled,
             )
             self._next_end = min(self._next_end, end)
             self._joined_at = now
@@ -219,6 +229,7 @@
                     at=now,
                     holder=report.sender,
                     sign=1,
+                    unused_s=report.unused_s,
                     starts_filled=report.starts_filled,
                 )
             )
@@ -309,9 +320,8 @@
         )
         for holder in owners & self.deposits.keys():
             deposit = self.deposits[holder]
-            filled = account.per_s * (now - deposit.start)
-            filled += start if deposit.starts_filled else 0.0
-            bucket.level += min(capacity, filled) / len(owners)
+            filled = bucket.filled(now - deposit.start, deposit.starts_filled)
+            bucket.level += filled / len(owners)
         return bucket
 
     def _reshare(self, name: AccountName, bucket: Bucket) -> None:
--- a/chiverun/core/quotatokens.py
+++ b/chiverun/core/quotatokens.py
@@ -115,7 +115,8 @@
         for account, row in recent:
             if now >= row.expires_at:
                 row.tokens = 0
-            is_new = row.requests > 0
+            # Refused requests, too: there may be tokens earlier than told.
+            is_new = row.requests > 0 or row.none_before > now
             _count(row, now)
             demand = _demand(account, row, period_s, now)
             is_over = not demand.stock and not demand.returned
