Let a limit declared in service take effect after a second

Until then all instances have learnt of it and found their coordinator, so that requests below the limit are not refused meanwhile. An instance that starts has no such time.

--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -33,6 +33,9 @@
 SEARCH_PERIOD_S = 0.2
 SEARCH_FIRST = 4
 SEARCH_MAX = 32
+# An instance that searches does not delegate its share before this time: it
+# would begin anew at the coordinator that is found next.
+SEARCH_SETTLED_S = 0.4
 # Earlier candidates are asked again at this interval, a few at a time.
 RETRY_PERIOD_S = 2.0
 RETRY_CANDIDATES = 4
@@ -130,10 +133,8 @@
         self._failures: dict[InstanceId, _Failure] = {}
         self._report_at = now
         self._reported_at = float("-inf")
-        self._is_searching = True
-        self._search_at = now
-        self._search_from = 0
-        self._search_size = SEARCH_FIRST
+        self._is_suspended = True
+        self._search(now)
         # An earlier process of this instance may have delegated the share.
         self._deposit_to: InstanceId | None = None
         self._deposit_end = now + DEPOSIT_LIFE_S
@@ -163,9 +164,13 @@
         self.tokens.clear()
         self._sent = None
         self._silent_since = None
+        self._is_suspended = True
 
     def tick(self, now: float) -> list[Outgoing]:
         """Return the messages that are due."""
+        if self._is_suspended:
+            self._is_suspended = False
+            self._search(now)
         self._check_answer(now)
         outgoing = self._ask_candidates(now)
         if now >= self._report_at and self._sent is None:
@@ -315,6 +320,8 @@
         )
         self.current = name
         self._since = now
+        if name == self._order[0].name:
+            self._is_searching = False
         self._sent = None
         self._silent_since = None
         self._report_at = now
@@ -331,6 +338,7 @@
 
     def _search(self, now: float) -> None:
         self._is_searching = True
+        self._searched_at = now
         self._search_at = now
         self._search_from = 0
         self._search_size = SEARCH_FIRST
@@ -414,6 +422,10 @@
         if self._deposit_to != self.current and now < self._deposit_end:
             self._report_at = min(self._report_at, self._deposit_end)
             return 0.0, False
+        settled_at = self._searched_at + SEARCH_SETTLED_S
+        if self._is_searching and now < settled_at:
+            self.ask_at(settled_at)
+            return 0.0, False
         if echo is None:
             return 0.0, False
         if self._silent_since is not None:
--- a/chiverun/core/quotacoordinator.py
+++ b/chiverun/core/quotacoordinator.py
@@ -34,6 +34,8 @@
 # Lease holders keep what they have for this time after an instance has begun
 # to delegate its share: the others that change their coordinator will follow.
 SETTLED_S = 1.5
+# Until then there may be tokens earlier than the delegated shares promise.
+UNSETTLED_WAIT_S = 0.1
 # Accounts that are not in use are forgotten after this time.
 BUCKET_IDLE_S = 30.0
 # Time to return for accounts whose limit this coordinator does not know.
@@ -248,8 +250,9 @@
         lease = bucket.leases.setdefault(holder, Lease())
         bucket.settle(lease, demand)
         tokens = bucket.tokens_for(demand)
-        if tokens < 0 and now - self._joined_at < SETTLED_S:
-            tokens = 0
+        is_settled = now - self._joined_at >= SETTLED_S
+        if not is_settled:
+            tokens = max(0, tokens)
         granted = max(0, tokens)
         bucket.level -= granted
         bucket.outstanding += granted
@@ -258,10 +261,11 @@
         bucket.unmet += lease.unmet
         is_short = bucket.level < 1 and lease.tokens <= demand.waiting
         self._note_exhaustion(demand.account, bucket, is_short)
+        wait_s = bucket.wait_s() if is_short else 0.0
+        if not is_settled:
+            wait_s = min(wait_s, UNSETTLED_WAIT_S)
         return QuotaTokens(
-            account=demand.account,
-            tokens=tokens,
-            wait_s=bucket.wait_s() if is_short else 0.0,
+            account=demand.account, tokens=tokens, wait_s=wait_s
         )
 
     def _note_exhaustion(
--- a/chiverun/runtime/quotaexchange.py
+++ b/chiverun/runtime/quotaexchange.py
@@ -34,6 +34,9 @@
 # Tokens of this many accounts are named in a log line, those with most first.
 LOGGED_ACCOUNTS = 8
 STATUS_PERIOD_S = 10.0
+# A limit that is declared while this instance runs takes effect after this
+# time, in which all instances learn of it and find their coordinator.
+DECLARED_S = 1.0
 # Sleep while no account has a limit.
 _IDLE_S = 1.0
 
@@ -66,6 +69,8 @@
         )
         self._admission = QuotaAdmission(client=self._client, send=self._send)
         self._accounts: dict[AccountName, ClientAccount] = {}
+        self._has_state = False
+        self._effective_at: dict[AccountName, float] = {}
         self._fleet: list[Machine] = []
         self._wake = asyncio.Event()
         self._sleeps_until = float("inf")
@@ -81,10 +86,17 @@
             for account in accounts or ()
             if account.per_s is not None and account.fault is None
         }
+        now = self._loop.time()
+        effective_at = now + DECLARED_S if self._has_state else now
+        self._has_state = True
         if limited == self._accounts:
             return
+        self._effective_at = {
+            name: self._effective_at.get(name, effective_at)
+            for name in limited
+        }
         self._accounts = limited
-        self._coordinator.set_accounts(limited, self._loop.time())
+        self._coordinator.set_accounts(limited, now)
         if not limited:
             self._admission.close()
         self._wake.set()
@@ -111,9 +123,9 @@
         self, account: ClientAccount, deadline: float
     ) -> Admitted | Exceeded:
         """Admit a request; `deadline` is in event loop time."""
-        if account.name not in self._accounts:
-            return Admitted()
         now = self._loop.time()
+        if now < self._effective_at.get(account.name, float("inf")):
+            return Admitted()
         outcome = self._admission.admit(account.name, now, deadline)
         if outcome is None:
             outcome = await self._wait(account.name, now, deadline)
--- a/tests/runtime/test_quotaexchange.py
+++ b/tests/runtime/test_quotaexchange.py
@@ -145,6 +145,31 @@
 
         _run(scenario)
 
+    @params((0.5, 60), (1.5, 55))
+    def test_declared_limit_refuses_nothing_below_it(self, after_s, count):
+        """Guards against refusals when a limit is declared in service."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            fleet.apply()
+            await asyncio.sleep(10.0)
+            fleet.apply(_ACCOUNT)
+            await asyncio.sleep(after_s)
+            for number in range(count):
+                self.assertIsInstance(await fleet.admit(number), Admitted)
+                await asyncio.sleep(0.02)
+
+        _run(scenario)
+
+    def test_restarted_instance_has_no_time_without_limits(self):
+        """Guards against restarts that admit more than the limit."""
+
+        async def scenario(fleet: _Fleet) -> None:
+            fleet.apply(_ACCOUNT)
+            outcomes = [await fleet.admit(1, limit_s=0.4) for _ in range(9)]
+            self.assertEqual({Exceeded}, {type(o) for o in outcomes})
+
+        _run(scenario)
+
     def test_request_waits_no_longer_than_allowed(self):
         """Guards against a request that a dead coordinator holds up."""
 
