--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -33,6 +33,9 @@
 SEARCH_PERIOD_S = 0.2
 SEARCH_FIRST = 4
 SEARCH_MAX = 32
+# An instance that searches does not delegate its share before this time: it
+# would begin anew at the coordinator that is found next.
+SEARCH_SETTLED_S = 0.4
 # Earlier candidates are asked again at this interval, a few at a time.
 RETRY_PERIOD_S = 2.0
 RETRY_CANDIDATES = 4
@@ -118,6 +121,7 @@
         self._order: list[Machine] = [me]
         self._machines: dict[InstanceId, Machine] = {me.name: me}
         self._size = 1
+        self._fleet_at = now
         self._number = 0
         self._sent: _Sent | None = None
         self._hellos: dict[int, _Sent] = {}
@@ -129,10 +133,8 @@
         self._failures: dict[InstanceId, _Failure] = {}
         self._report_at = now
         self._reported_at = float("-inf")
-        self._is_searching = True
-        self._search_at = now
-        self._search_from = 0
-        self._search_size = SEARCH_FIRST
+        self._is_suspended = True
+        self._search(now)
         # An earlier process of this instance may have delegated the share.
         self._deposit_to: InstanceId | None = None
         self._deposit_end = now + DEPOSIT_LIFE_S
@@ -143,8 +145,12 @@
         """Set the registered instances."""
         others = [m for m in machines if m.name != self.me.name]
         self._order = sorted([*others, self.me], key=_rank)
+        known = self._machines.keys()
         self._machines = {m.name: m for m in self._order}
         self._size = len(self._order)
+        if self._machines.keys() != known:
+            # Others may have used what is now this instance's share.
+            self._fleet_at = now
         if self.current not in self._machines:
             self._fail("not registered any more", now)
 
@@ -158,9 +164,13 @@
         self.tokens.clear()
         self._sent = None
         self._silent_since = None
+        self._is_suspended = True
 
     def tick(self, now: float) -> list[Outgoing]:
         """Return the messages that are due."""
+        if self._is_suspended:
+            self._is_suspended = False
+            self._search(now)
         self._check_answer(now)
         outgoing = self._ask_candidates(now)
         if now >= self._report_at and self._sent is None:
@@ -310,6 +320,8 @@
         )
         self.current = name
         self._since = now
+        if name == self._order[0].name:
+            self._is_searching = False
         self._sent = None
         self._silent_since = None
         self._report_at = now
@@ -326,6 +338,7 @@
 
     def _search(self, now: float) -> None:
         self._is_searching = True
+        self._searched_at = now
         self._search_at = now
         self._search_from = 0
         self._search_size = SEARCH_FIRST
@@ -383,6 +396,7 @@
         self._report_at = now + period_s
         self._reported_at = now
         echo = self._echoes.get(self.current)
+        unused_s = max(0.0, now - max(self._deposit_end, self._fleet_at))
         share_s, starts_filled = self._delegate(echo, now)
         report = QuotaReport(
             sender=self.me.name,
@@ -393,6 +407,7 @@
             echo_sent_at=echo.sent_at if echo else 0.0,
             echo_age_s=now - echo.received_at if echo else 0.0,
             share_s=share_s,
+            unused_s=unused_s if share_s else 0.0,
             starts_filled=starts_filled,
             demands=self.tokens.demands(now, period_s),
         )
@@ -407,6 +422,10 @@
         if self._deposit_to != self.current and now < self._deposit_end:
             self._report_at = min(self._report_at, self._deposit_end)
             return 0.0, False
+        settled_at = self._searched_at + SEARCH_SETTLED_S
+        if self._is_searching and now < settled_at:
+            self.ask_at(settled_at)
+            return 0.0, False
         if echo is None:
             return 0.0, False
         if self._silent_since is not None:
--- a/chiverun/core/quotacoordinator.py
+++ b/chiverun/core/quotacoordinator.py
@@ -34,6 +34,8 @@
 # Lease holders keep what they have for this time after an instance has begun
 # to delegate its share: the others that change their coordinator will follow.
 SETTLED_S = 1.5
+# Until then there may be tokens earlier than the delegated shares promise.
+UNSETTLED_WAIT_S = 0.1
 # Accounts that are not in use are forgotten after this time.
 BUCKET_IDLE_S = 30.0
 # Time to return for accounts whose limit this coordinator does not know.
@@ -43,7 +45,10 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Deposit:
-    """The share that an instance delegates; times are monotonic seconds."""
+    """The share that an instance delegates; times are monotonic seconds.
+
+    Tokens of it have accrued since `start`.
+    """
 
     start: float
     end: float
@@ -126,6 +131,11 @@
             bucket.start = START_PART * excess_of(account, self._bounds)
             self._reshare(name, bucket)
 
+    @property
+    def has_accounts(self) -> bool:
+        """Return whether any account has a limit here."""
+        return bool(self._accounts)
+
     def release(self, holder: InstanceId, now: float) -> None:
         """End the delegation of an instance's share."""
         self._expire(now)
@@ -210,7 +220,9 @@
             deposit.end = max(deposit.end, end)
         elif end > now:
             self.deposits[report.sender] = Deposit(
-                start=now, end=end, starts_filled=report.starts_filled
+                start=now - report.unused_s,
+                end=end,
+                starts_filled=report.starts_filled,
             )
             self._next_end = min(self._next_end, end)
             self._joined_at = now
@@ -219,6 +231,7 @@
                     at=now,
                     holder=report.sender,
                     sign=1,
+                    unused_s=report.unused_s,
                     starts_filled=report.starts_filled,
                 )
             )
@@ -237,8 +250,9 @@
         lease = bucket.leases.setdefault(holder, Lease())
         bucket.settle(lease, demand)
         tokens = bucket.tokens_for(demand)
-        if tokens < 0 and now - self._joined_at < SETTLED_S:
-            tokens = 0
+        is_settled = now - self._joined_at >= SETTLED_S
+        if not is_settled:
+            tokens = max(0, tokens)
         granted = max(0, tokens)
         bucket.level -= granted
         bucket.outstanding += granted
@@ -247,10 +261,11 @@
         bucket.unmet += lease.unmet
         is_short = bucket.level < 1 and lease.tokens <= demand.waiting
         self._note_exhaustion(demand.account, bucket, is_short)
+        wait_s = bucket.wait_s() if is_short else 0.0
+        if not is_settled:
+            wait_s = min(wait_s, UNSETTLED_WAIT_S)
         return QuotaTokens(
-            account=demand.account,
-            tokens=tokens,
-            wait_s=bucket.wait_s() if is_short else 0.0,
+            account=demand.account, tokens=tokens, wait_s=wait_s
         )
 
     def _note_exhaustion(
@@ -309,9 +324,8 @@
         )
         for holder in owners & self.deposits.keys():
             deposit = self.deposits[holder]
-            filled = account.per_s * (now - deposit.start)
-            filled += start if deposit.starts_filled else 0.0
-            bucket.level += min(capacity, filled) / len(owners)
+            filled = bucket.filled(now - deposit.start, deposit.starts_filled)
+            bucket.level += filled / len(owners)
         return bucket
 
     def _reshare(self, name: AccountName, bucket: Bucket) -> None:
