--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -23,7 +23,8 @@
     time that it names in answers to health checks. `leaving` is whether its
     responses say that it leaves; `retry_after` rejects requests as not run and
     asks for a pause of these seconds. A request for `deadly_target` ends the
-    server `DEADLY_RUN_S` after it has arrived.
+    server `DEADLY_RUN_S` after it has arrived. `body_bytes` is the size of
+    responses' bodies, 0 for the usual one.
     """
 
     answer: bytes | None = None
@@ -41,6 +42,7 @@
     leaving: bool = False
     retry_after: str | None = None
     deadly_target: str | None = None
+    body_bytes: int = 0
 
 
 class Upstream:
@@ -165,7 +167,8 @@
         response = _response(
             self.faults.status,
             request_id,
-            b"ran " + request_id.encode() + b" " + body,
+            bytes(self.faults.body_bytes)
+            or b"ran " + request_id.encode() + b" " + body,
             extra,
         )
         self._write(writer, response)
