Bound what clients take of memory, connections and time

Bodies that stopped short of their end, slow readers and silent connections took the process over the memory and the descriptors of its machine. Bodies of closed connections also stayed in reference cycles until the next garbage collection, and a body lay in memory two or three times.

One account (core/bytebudget.py) of the bytes as held: what has not been processed, the parser's buffer, bodies, many fields, unread responses, answers of servers and the store. Its limit follows from the memory beyond that of a process at rest. Above it, what holds most for the least progress goes first; a newcomer gets the room of stalled requests only. Bodies are kept in pieces (core/body.py), and what a peer does not read waits uncopied (integrations/pacedwriter.py). Listeners have a limit of connections from memory and descriptors; a full one closes discarded, stalled, unused and idle connections, in this order. Readiness, look-ups and metrics have memory and limits of their own. Refusals quote nothing of a request, carry codes 309 to 311 and are counted; their log lines are bounded.

The time limit of a body moves from a constant to CallerLimits, so the test that patched the constant sets it there; it now grows with the body, as a body of 64 MiB takes 107 s at 5 Mbit/s.

--- a/chiverun/core/edgesettings.py
+++ b/chiverun/core/edgesettings.py
@@ -54,3 +54,5 @@
     capacity: float = 1.0
     # Memory that the process may use, None if unknown.
     memory_bytes: int | None = None
+    # Files and sockets that the process may have open, None if unknown.
+    descriptors: int | None = None
--- a/chiverun/core/exchange.py
+++ b/chiverun/core/exchange.py
@@ -4,6 +4,7 @@
 import enum
 from typing import assert_never
 
+from chiverun.core.body import Body
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 
@@ -40,7 +41,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | Body
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/core/suspects.py
+++ b/chiverun/core/suspects.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from chiverun.core.body import Body
 from chiverun.core.ids import ServerName
 
 # What a request asks for; its id changes when a client returns with it.
@@ -111,7 +112,7 @@
 
 
 def fingerprint_of(
-    *, method: str, host: str, target: str, body: bytes
+    *, method: str, host: str, target: str, body: bytes | Body
 ) -> Fingerprint:
     """Return what a request asks for, as a hash."""
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -11,6 +11,8 @@
 
 import h11
 
+from chiverun.core.body import Body
+from chiverun.core.body import pieces_of
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
@@ -26,6 +28,7 @@
 from chiverun.core.loopusage import PeerName
 from chiverun.core.loopusage import Source
 from chiverun.integrations.network import split_address
+from chiverun.integrations.pacedwriter import PacedWriter
 from chiverun.integrations.pieces import Pieces
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.integrations.sockets import set_peer_timeout
@@ -60,7 +63,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | Body
     matches_request: Callable[[list[tuple[str, str]]], bool]
 
 
@@ -88,15 +91,17 @@
         self._lost_detail: str | None = None
         self._body_bytes_max = body_bytes_max
         self._bytes_max = FRAMING_FACTOR * body_bytes_max + HEADER_BYTES_MAX
-        self._held = (memory or ByteBudget()).hold(self._drop_body)
+        self._memory = memory or ByteBudget()
+        self._held = self._memory.hold(self._drop_body)
         self._transport: asyncio.Transport | None = None
+        self._writer: PacedWriter | None = None
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=HEADER_BYTES_MAX
         )
         self._waiter: asyncio.Future[ExchangeEnd] | None = None
         self._request: OutgoingRequest | None = None
         self._response: h11.Response | None = None
-        self._body = bytearray()
+        self._body = Body()
         # Received in this exchange.
         self._received_bytes = 0
         self._interim_responses = 0
@@ -107,9 +112,16 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
+        self._writer = PacedWriter(transport=transport)
         sock = transport.get_extra_info("socket")
         set_peer_timeout(sock, timeout_ms=PEER_TIMEOUT_MS)
 
+    def pause_writing(self) -> None:
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        self._writer.resume()
+
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._turns.buffer
 
@@ -143,6 +155,7 @@
             self._lost_detail = detail
         else:
             self._end_lost(detail)
+            self._body.clear()
 
     def _end_lost(self, detail: str) -> None:
         if self._response is not None:
@@ -153,7 +166,7 @@
     def wait(self) -> None:
         """Read no more until the received bytes have been processed."""
         self._transport.pause_reading()
-        self._held.grow(len(self._unread))
+        self._held.resize(len(self._body) + len(self._unread))
 
     def resume(self) -> None:
         """Read on."""
@@ -166,8 +179,10 @@
         """Close at once, discarding buffered data."""
         self.reusable = False
         self._unread.clear()
+        self._body.clear()
         self._turn.close()
         if self._transport is not None:
+            self._writer.clear()
             self._transport.abort()
 
     async def exchange(
@@ -184,14 +199,14 @@
         self.exchanges += 1
         self._request = request
         self._response = None
-        self._body = bytearray()
+        self._body = Body()
         self._received_bytes = 0
         self._interim_responses = 0
         self._skipped_responses = 0
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             for piece in self._encode_request(request):
-                self._transport.write(piece)
+                self._writer.write(piece)
             # wait_for would lose a cancellation that coincides with the
             # response.
             async with asyncio.timeout(timeout_s):
@@ -204,11 +219,15 @@
             raise
         finally:
             self._waiter = None
+            # An idle connection would keep the request's body.
+            self._request = None
             self._held.release()
             if self.reusable and self._has_pending_bytes():
                 self.abort()
 
-    def _encode_request(self, request: OutgoingRequest) -> list[bytes]:
+    def _encode_request(
+        self, request: OutgoingRequest
+    ) -> list[bytes | memoryview]:
         """Return the request in pieces; a large body is not copied."""
         head = self._http.send(
             h11.Request(
@@ -217,9 +236,13 @@
                 headers=request.headers,
             )
         )
-        body = self._http.send_with_data_passthrough(
-            h11.Data(data=request.body)
-        )
+        body = [
+            part
+            for piece in pieces_of(request.body)
+            for part in self._http.send_with_data_passthrough(
+                h11.Data(data=piece)
+            )
+        ]
         end = self._http.send(h11.EndOfMessage())
         pieces = [head or b"", *body, end or b""]
         if len(request.body) <= JOINED_BODY_BYTES_MAX:
@@ -228,7 +251,7 @@
 
     def _has_pending_bytes(self) -> bool:
         """Return whether bytes of this exchange are unsent or unread."""
-        unsent = self._transport and self._transport.get_write_buffer_size()
+        unsent = self._writer and self._writer.size
         states = (self._http.our_state, self._http.their_state)
         return bool(
             unsent
@@ -251,8 +274,10 @@
                 return self._unread.feed(self._http)
             self._unread.note_event()
             return self._handle_event(event)
-        except h11.RemoteProtocolError as exc:
-            self._end_malformed(str(exc))
+        except h11.RemoteProtocolError:
+            # The parser's message quotes the response, which may repeat an
+            # API key.
+            self._end_malformed("not a valid HTTP/1.1 response")
             return False
 
     def _end_malformed(self, reason: str) -> None:
@@ -286,11 +311,11 @@
         return True
 
     def _add_to_body(self, data: bytes) -> bool:
-        self._body += data
+        self._body.add(data)
         if len(self._body) > self._body_bytes_max:
             self._give_up(TooLarge(limit=self._body_bytes_max))
             return False
-        self._held.grow(len(data))
+        self._held.resize(len(self._body), moved=len(data))
         return not self._waiter.done()
 
     def _drop_body(self) -> None:
@@ -299,7 +324,7 @@
 
     def _give_up(self, end: ExchangeEnd) -> None:
         self.abort()
-        self._body = bytearray()
+        self._body = Body()
         self._set_result(end)
 
     def _complete_response(self) -> bool:
@@ -313,11 +338,17 @@
         if self._http.their_state is not h11.DONE:
             self.reusable = False
         self._turn.complete_message()
+        body = self._body.complete()
+        if isinstance(body, Body):
+            # Counted until it has been passed on.
+            self._held.pin()
+            body.holding = self._held
+            self._held = self._memory.hold(self._drop_body)
         self._set_result(
             Answered(
                 status=response.status_code,
                 headers=tuple(headers),
-                body=bytes(self._body),
+                body=body,
             )
         )
         return False
@@ -343,7 +374,7 @@
         )
         self._encode_request(self._request)
         self._response = None
-        self._body = bytearray()
+        self._body = Body()
         self._held.release()
         if trailing:
             self._http.receive_data(trailing)
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -6,213 +6,144 @@
 """
 
 import asyncio
-import dataclasses
 import math
-from collections.abc import Awaitable
-from collections.abc import Callable
+import socket
 
 import h11
 import logbook
 
-from chiverun.core.bytebudget import ByteBudget
-from chiverun.core.catalog import ClientLimits
+from chiverun.core.body import Body
+from chiverun.core.body import pieces_of
+from chiverun.core.callerlimits import ACCEPT_BATCH
+from chiverun.core.callerlimits import RefusalReason
 from chiverun.core.ids import Address
-from chiverun.core.loopusage import LoopPart
-from chiverun.core.loopusage import PeerName
-from chiverun.core.loopusage import Source
+from chiverun.integrations.callerconnection import CallerConnection
+from chiverun.integrations.httpmessages import content_length
+from chiverun.integrations.httpmessages import Handler
+from chiverun.integrations.httpmessages import has_ambiguous_length
+from chiverun.integrations.httpmessages import head_bytes
+from chiverun.integrations.httpmessages import Headers
+from chiverun.integrations.httpmessages import IncomingRequest
+from chiverun.integrations.httpmessages import OutgoingResponse
+from chiverun.integrations.httpmessages import request_of
+from chiverun.integrations.listenerstate import ListenerState
 from chiverun.integrations.network import split_address
-from chiverun.integrations.pieces import Pieces
-from chiverun.integrations.readturns import ReadTurns
-from chiverun.integrations.readturns import Turn
-from chiverun.integrations.sockets import set_peer_timeout
+from chiverun.integrations.refusalresponses import encode_refusal
+
+__all__ = [
+    "Handler",
+    "Headers",
+    "IncomingRequest",
+    "ListenerState",
+    "OutgoingResponse",
+    "listen",
+]
 
 _LOG = logbook.Logger("server")
 
-# The connection fails if the caller acknowledges no data for this long.
-PEER_TIMEOUT_MS = 10_000
+# Connections that wait in the kernel until they are accepted.
 BACKLOG = 1024
-# Limit of pipelined bytes that are buffered while a request is handled.
-_PIPELINED_BYTES_MAX = 64 * 1024
-
-# A body that takes longer is refused, also if a few bytes keep arriving.
-BODY_TIMEOUT_S = 60.0
-# After a refusal the rest of the request is read and discarded for this long
-# and up to this size: closing with unread bytes would reset the connection,
-# and the caller could lose the response.
-LINGER_S = 1.0
-LINGER_BYTES_MAX = 1024 * 1024
-
-# Retry-After of a request that was refused for lack of memory.
-MEMORY_RETRY_AFTER_S = 1.0
-
+# Bytes that wait, up to this number, are part of a connection's memory.
+_FREE_BYTES = 2048
 # Statuses whose responses have neither a body nor a Content-Length.
 _BODILESS_STATUSES = (204, 304)
 
-Headers = list[tuple[str, str]]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class IncomingRequest:
-    """A complete request; `target` is not decoded."""
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    arrived_at: float
-
-    def header(self, name: str) -> str | None:
-        """Return the first value of a header, None if it is missing."""
-        lower = name.lower()
-        return next((v for n, v in self.headers if n.lower() == lower), None)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class OutgoingResponse:
-    """A complete response."""
 
-    status: int
-    headers: Headers
-    body: bytes = b""
-
-
-Handler = Callable[[IncomingRequest], Awaitable[OutgoingResponse]]
-
-
-@dataclasses.dataclass(kw_only=True)
-class ListenerState:
-    """State shared by all connections of a listener."""
-
-    handler: Handler
-    limits: ClientLimits = dataclasses.field(default_factory=ClientLimits)
-    memory: ByteBudget = dataclasses.field(default_factory=ByteBudget)
-    turns: ReadTurns = dataclasses.field(default_factory=ReadTurns)
-    closing: bool = False
-    connections: set["ServerConnection"] = dataclasses.field(
-        default_factory=set
-    )
-    last_request_at: float = float("-inf")
-
-    def active(self) -> int:
-        """Return the number of requests in progress."""
-        return sum(conn.is_busy for conn in self.connections)
-
-
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(CallerConnection):
     """A connection accepted from a caller."""
 
     def __init__(self, *, state: ListenerState) -> None:
-        self._state = state
-        self._loop = asyncio.get_running_loop()
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=state.limits.header_bytes
-        )
-        self._transport: asyncio.Transport | None = None
-        self._request: h11.Request | None = None
+        super().__init__(state=state)
         self._arrived_at = 0.0
-        self._body = bytearray()
-        self._task: asyncio.Task[None] | None = None
-        self._turn: Turn | None = None
-        self._unread = Pieces()
-        self._timer: asyncio.TimerHandle | None = None
-        self._times_out_at = math.inf
-        self._is_reading_head = False
-        self._is_writable = True
-        # Bytes that may still be discarded, None before a refusal.
-        self._linger_bytes: int | None = None
-        self._body_deadline = 0.0
-        self._held = state.memory.hold(self._drop_body)
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request is being read or handled, or answered."""
-        return (
-            self._task is not None
-            or self._request is not None
-            or self._is_reading_head
-            or self._turn.is_waiting
-            or self._transport.get_write_buffer_size() > 0
-        )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport
-        sock = transport.get_extra_info("socket")
-        set_peer_timeout(sock, timeout_ms=PEER_TIMEOUT_MS)
-        host, port = transport.get_extra_info("peername")[:2]
-        source = Source(part=LoopPart.CALLERS, peer=PeerName(f"{host}:{port}"))
-        self._turn = self._state.turns.open(source, self)
-        self._state.connections.add(self)
-        self._set_timer(self._state.limits.header_timeout_s)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._state.connections.discard(self)
-        self._unread.clear()
-        self._turn.close()
-        self._clear_timer()
-        self._held.release()
-        if self._task is not None:
-            self._task.cancel()
+        # Memory of the fields and the body of the present request.
+        self._field_bytes = 0
+        self._body_bytes = 0
 
     def pause_writing(self) -> None:
         # The caller does not read its responses: take no further request.
-        self._is_writable = False
-        self._transport.pause_reading()
+        self._writer.pause()
+        self._update_reading()
 
     def resume_writing(self) -> None:
-        self._is_writable = True
-        if self._turn.is_waiting:
+        self._writer.resume()
+        self._note_written()
+        if self._writer.is_blocked or self._turn.is_waiting:
             return
-        self._transport.resume_reading()
+        self._update_reading()
         if self._linger_bytes is None:
             self._turn.run()
 
-    def eof_received(self) -> bool:
-        # A half-closed connection counts as closed by the caller.
-        return False
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self._state.turns.buffer
+    def _note_written(self) -> None:
+        written = max(0, self._held.size - self._writer.size)
+        self._activity.note(written, self._loop.time())
+        if self._task is None and self._request is None:
+            self._held.resize(self._writer.size, moved=written)
+
+    def _update_reading(self) -> None:
+        """Read if what arrives can be processed or discarded."""
+        is_reading = (
+            not self._writer.is_blocked
+            and not self._turn.is_waiting
+            and (not self._is_last or self._linger_bytes is not None)
+        )
+        if is_reading:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
 
     def buffer_updated(self, count: int) -> None:
         if self._linger_bytes is not None:
             self._discard(count)
             return
-        is_handling = self._task is not None
-        if is_handling and len(self._unread) + count > _PIPELINED_BYTES_MAX:
-            self._transport.abort()
-            return
         if self._request is None and not self._is_reading_head:
             # The limit counts from the first byte, so that a slow sender
             # cannot extend it.
             self._is_reading_head = True
-            self._set_timer(self._state.limits.header_timeout_s)
+            self._activity.begin(self._loop.time())
+            self._timeout.set(self._state.limits.header_timeout_s)
+        self._activity.note(count, self._loop.time())
         self._unread.add(bytes(self._state.turns.buffer[:count]))
         self._turn.run()
+        if self._is_ended:
+            return
+        if self._task is not None:
+            self._bound_ahead()
+        self._account(count)
 
-    def wait(self) -> None:
-        """Read no more until the received bytes have been processed."""
-        self._transport.pause_reading()
-        if self._task is None:
-            self._held.grow(len(self._unread))
+    def _bound_ahead(self) -> None:
+        """Read no further request if much is sent ahead."""
+        ahead = len(self._unread)
+        if ahead <= _FREE_BYTES:
+            return
+        is_over = ahead > self._state.caller_limits.ahead_bytes
+        if is_over or not self._state.memory.has_room(ahead):
+            self._drop_ahead()
 
-    def resume(self) -> None:
-        """Read on, unless the caller does not read its responses."""
-        if self._is_writable:
-            self._transport.resume_reading()
+    def _drop_ahead(self) -> None:
+        """Give up what follows the request that runs; it has not run."""
+        self._is_last = True
+        self._unread.clear()
+        self._update_reading()
 
-    def abort(self) -> None:
-        """Close at once, discarding buffered data."""
-        self._transport.abort()
+    def _account(self, moved: int = 0) -> None:
+        """Count the bytes that are held for the caller."""
+        if self._writer.size:
+            return
+        waiting = len(self._unread) + len(self._http.trailing_data[0])
+        if waiting <= _FREE_BYTES:
+            waiting = 0
+        self._held.resize(
+            self._body_bytes + self._field_bytes + waiting, moved=moved
+        )
 
-    def close_if_idle(self) -> None:
-        """Close unless a request is being read, handled or answered."""
-        if self._transport is not None and not self.is_busy:
-            self._transport.close()
+    def resume(self) -> None:
+        """Read on, unless the caller does not read its responses."""
+        self._update_reading()
 
     def process_next(self) -> bool:
         """Process an event; return whether another may follow at once."""
-        is_blocked = self._task is not None or not self._is_writable
-        if is_blocked or self._linger_bytes is not None:
+        is_blocked = self._task is not None or self._writer.is_blocked
+        if is_blocked or self._is_last or self._is_ended:
             return False
         try:
             event = self._http.next_event()
@@ -223,7 +154,13 @@
             self._unread.note_event()
             return self._handle_event(event)
         except h11.RemoteProtocolError as exc:
-            self._reject(exc.error_status_hint or 400, str(exc))
+            # The parser's message quotes the request.
+            if exc.error_status_hint == 431:
+                self._reject(431, RefusalReason.HEAD_TOO_LARGE)
+            else:
+                self._reject(
+                    exc.error_status_hint or 400, RefusalReason.MALFORMED
+                )
             return False
 
     def _await_data(self) -> bool:
@@ -239,7 +176,7 @@
             case h11.Data():
                 return self._add_to_body(event.data)
             case h11.EndOfMessage():
-                self._clear_timer()
+                self._timeout.clear()
                 self._turn.complete_message()
                 self._start_handler()
             case h11.ConnectionClosed():
@@ -251,54 +188,69 @@
         """Check a head; return whether its body is to be read."""
         self._request = request
         self._is_reading_head = False
+        self._is_used = True
         self._arrived_at = self._loop.time()
-        self._body_deadline = self._arrived_at + BODY_TIMEOUT_S
-        self._body = bytearray()
         limits = self._state.limits
-        length = _content_length(request)
-        if _head_bytes(request) > limits.header_bytes:
+        length = content_length(request)
+        self._body_bytes = 0
+        self._field_bytes = self._memory_of_fields(request)
+        if head_bytes(request) > limits.header_bytes:
             # h11 limits only a head that arrives in several pieces.
-            self._reject(431, "head over the limit")
-        elif _has_ambiguous_length(request):
-            self._reject(400, "both a length and chunks")
+            self._reject(431, RefusalReason.HEAD_TOO_LARGE)
+        elif has_ambiguous_length(request):
+            self._reject(400, RefusalReason.MALFORMED)
         elif length > limits.body_bytes:
-            self._reject(413, "body over the limit")
-        elif not self._state.memory.has_room(length):
-            self._reject(503, "no memory for the body")
+            self._reject(413, RefusalReason.BODY_TOO_LARGE)
+        elif not self._state.memory.make_room(length + self._field_bytes):
+            self._reject(503, RefusalReason.MEMORY)
         else:
             return True
         return False
 
+    def _memory_of_fields(self, request: h11.Request) -> int:
+        limits = self._state.caller_limits
+        count = len(request.headers)
+        return limits.field_bytes * count if count > limits.free_fields else 0
+
     def _add_to_body(self, data: bytes) -> bool:
-        self._body += data
-        if len(self._body) > self._state.limits.body_bytes:
-            self._reject(413, "body over the limit")
+        self._body.add(data)
+        self._body_bytes = len(self._body)
+        if self._body_bytes > self._state.limits.body_bytes:
+            self._reject(413, RefusalReason.BODY_TOO_LARGE)
             return False
-        self._held.grow(len(data))
-        if self._linger_bytes is not None:
+        limits = self._state.caller_limits
+        self._held.resize(
+            self._body_bytes + self._field_bytes, moved=len(data)
+        )
+        if self._is_ended:
             return False
-        left_s = self._body_deadline - self._loop.time()
-        self._set_timer(
-            max(0.0, min(self._state.limits.header_timeout_s, left_s))
+        ends_at = (
+            self._arrived_at
+            + limits.body_timeout_s
+            + self._body_bytes / limits.body_bytes_per_s
         )
+        left_s = max(0.0, ends_at - self._loop.time())
+        self._timeout.set(min(self._state.limits.header_timeout_s, left_s))
         return True
 
-    def _drop_body(self) -> None:
-        """Give up the body, the largest that is held, for lack of memory."""
-        self._reject(503, "no memory for the body")
+    def _drop(self) -> None:
+        """Give up what is held, for lack of memory."""
+        if self._task is not None:
+            self._drop_ahead()
+        elif self._request is not None and not self._is_ended:
+            self._reject(503, RefusalReason.MEMORY)
+        else:
+            self._note_refusal(RefusalReason.MEMORY)
+            self._transport.abort()
 
     def _start_handler(self) -> None:
-        request = IncomingRequest(
-            method=self._request.method.decode("ascii"),
-            target=self._request.target.decode("ascii"),
-            headers=[
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in self._request.headers.raw_items()
-            ],
-            body=bytes(self._body),
-            arrived_at=self._arrived_at,
+        # Also counts what was sent ahead: this request may be refused still.
+        self._account()
+        if self._is_ended:
+            return
+        request = request_of(
+            self._request, self._body.complete(), self._arrived_at
         )
-        self._body = bytearray()
         self._held.pin()
         self._state.last_request_at = self._arrived_at
         self._task = self._loop.create_task(self._serve(request))
@@ -310,12 +262,11 @@
             self._task = None
             raise
         except Exception:
-            _LOG.exception(
-                "request handler failed", extra={"target": request.target}
-            )
+            _LOG.exception("request handler failed")
             response = OutgoingResponse(status=500, headers=[])
         self._task = None
         self._held.release()
+        self._body_bytes = self._field_bytes = 0
         if self._transport.is_closing():
             return
         self._respond(request, response)
@@ -328,133 +279,95 @@
         has_length = any(n.lower() == "content-length" for n, _ in headers)
         if not has_length and response.status not in _BODILESS_STATUSES:
             headers.append(("Content-Length", str(len(response.body))))
-        if self._state.closing:
+        if self._state.closing or self._is_last:
             headers.append(("Connection", "close"))
+        self._activity.begin(self._loop.time())
         try:
             self._write(
                 h11.Response(status_code=response.status, headers=headers)
             )
-            if body:
-                self._write_body(body)
+            for piece in pieces_of(body):
+                self._write_body(piece)
             self._write(h11.EndOfMessage())
-        except h11.LocalProtocolError as exc:
+        except h11.LocalProtocolError:
+            # The parser's message quotes the response.
             _LOG.error(
                 "cannot send the response",
-                extra={"target": request.target, "reason": str(exc)},
+                extra={"reason": "not a valid HTTP/1.1 response"},
             )
-            self._transport.close()
+            self._transport.abort()
             return
+        if isinstance(response.body, Body):
+            response.body.release()
+        if self._writer.size > _FREE_BYTES:
+            self._held.resize(self._writer.size)
         self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
         self._request = None
-        if self._http.our_state is not h11.DONE:
-            self._transport.close()
+        if self._transport.is_closing():
             return
-        if self._http.their_state is not h11.DONE:
-            self._transport.close()
+        states = (self._http.our_state, self._http.their_state)
+        if states != (h11.DONE, h11.DONE):
+            self._close_when_written()
             return
         self._http.start_next_cycle()
-        self._set_timer(self._state.limits.idle_timeout_s)
+        self._activity.begin(self._loop.time())
+        self._unwritten_bytes = math.inf
+        self._timeout.set(self._state.limits.idle_timeout_s)
+        self._update_reading()
         self._turn.run()
+        if not self._is_ended:
+            self._account()
 
-    def _reject(self, status: int, reason: str) -> None:
-        """Respond to an invalid request and close the connection."""
-        _LOG.warning(
-            "request refused", extra={"status": status, "reason": reason}
+    def _close_when_written(self) -> None:
+        """Close after the last response; what follows it is not read."""
+        is_ahead = (
+            self._is_last or len(self._unread) or self._http.trailing_data[0]
         )
-        self._clear_timer()
+        self._is_last = True
+        self._unread.clear()
+        self._unwritten_bytes = math.inf
+        self._timeout.set(self._state.caller_limits.read_stall_s)
+        self._writer.finish(
+            self._linger if is_ahead else self._transport.close
+        )
+
+    def _reject(self, status: int, reason: RefusalReason) -> None:
+        """Respond to a request that is not handled, and close."""
+        self._note_refusal(reason, status=status)
+        self._timeout.clear()
         self._held.release()
-        self._body = bytearray()
+        self._body.clear()
         self._unread.clear()
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._transport.close()
             return
-        body = reason.encode()
-        headers = [
-            ("Content-Length", str(len(body))),
-            ("Connection", "close"),
-        ]
-        if status == 503:
-            headers.append(("Retry-After", f"{MEMORY_RETRY_AFTER_S:g}"))
-        self._write(h11.Response(status_code=status, headers=headers))
-        self._write(h11.Data(data=body))
+        text = self._describe(reason)
+        self._writer.write(encode_refusal(self._http, status, reason, text))
         self._linger()
 
-    def _linger(self) -> None:
-        """Close for writing, and discard what the caller still sends."""
-        self._linger_bytes = LINGER_BYTES_MAX
-        if not self._transport.can_write_eof():
-            self._transport.close()
-            return
-        self._transport.write_eof()
-        self._set_timer(LINGER_S)
-
-    def _discard(self, count: int) -> None:
-        self._linger_bytes -= count
-        if self._linger_bytes < 0:
-            self._transport.close()
-
     def _write(self, event: h11.Event) -> None:
-        data = self._http.send(event)
-        if data:
-            self._transport.write(data)
-
-    def _write_body(self, body: bytes) -> None:
-        pieces = self._http.send_with_data_passthrough(h11.Data(data=body))
-        for piece in pieces:
-            self._transport.write(piece)
-
-    def _set_timer(self, timeout_s: float) -> None:
-        """Set the time-out, which each piece of a body extends.
-
-        A timer that fires too early is set again.
-        """
-        self._times_out_at = self._loop.time() + timeout_s
-        if self._timer is None or self._timer.when() > self._times_out_at:
-            self._clear_timer()
-            self._start_timer()
-
-    def _start_timer(self) -> None:
-        self._timer = self._loop.call_at(self._times_out_at, self._on_timer)
-
-    def _clear_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        if self._loop.time() < self._times_out_at:
-            self._start_timer()
-        else:
-            self._on_timeout()
+        self._writer.write(self._http.send(event) or b"")
+
+    def _write_body(self, piece: memoryview) -> None:
+        data = h11.Data(data=piece)
+        for part in self._http.send_with_data_passthrough(data):
+            self._writer.write(part)
 
     def _on_timeout(self) -> None:
-        if self._request is not None and self._linger_bytes is None:
-            self._reject(408, "request was not complete in time")
+        if self._writer.size:
+            self._check_reader()
+        elif self._linger_bytes is not None:
+            self._transport.close()
+        elif self._request is not None:
+            self._reject(408, RefusalReason.TOO_SLOW)
         else:
+            if self._is_reading_head:
+                self._note_refusal(RefusalReason.TOO_SLOW)
             self._transport.close()
 
 
-def _head_bytes(request: h11.Request) -> int:
-    """Return the size of a request head without its line ends."""
-    rows = request.headers.raw_items()
-    fields = sum(len(name) + len(value) + 2 for name, value in rows)
-    return len(request.method) + len(request.target) + fields
-
-
-def _content_length(request: h11.Request) -> int:
-    """Return the length of the body, 0 if it is sent in chunks."""
-    lengths = [v for name, v in request.headers if name == b"content-length"]
-    return int(lengths[0]) if lengths else 0
-
-
-def _has_ambiguous_length(request: h11.Request) -> bool:
-    names = {name for name, _ in request.headers}
-    return b"transfer-encoding" in names and b"content-length" in names
-
-
 async def listen(address: Address, state: ListenerState) -> asyncio.Server:
     """Accept callers' connections at an address.
 
@@ -464,10 +377,20 @@
         If the address cannot be bound.
     """
     host, port = split_address(address)
-    return await asyncio.get_running_loop().create_server(
+    server = await asyncio.get_running_loop().create_server(
         lambda: ServerConnection(state=state),
         host,
         port,
-        backlog=BACKLOG,
+        # Also the number that asyncio accepts at once.
+        backlog=ACCEPT_BATCH,
         reuse_address=True,
     )
+    for sock in server.sockets:
+        _set_backlog(sock.fileno())
+    return server
+
+
+def _set_backlog(fileno: int) -> None:
+    """Let more connections wait in the kernel than are accepted at once."""
+    with socket.socket(fileno=socket.dup(fileno)) as sock:
+        sock.listen(BACKLOG)
--- a/chiverun/integrations/inbox.py
+++ b/chiverun/integrations/inbox.py
@@ -33,7 +33,9 @@
         *,
         receive: Callable[[bytes], None],
         usage: LoopUsage | None = None,
+        bytes_max: int = BYTES_MAX,
     ) -> None:
+        self._bytes_max = min(BYTES_MAX, bytes_max)
         self._receive = receive
         self._usage = usage or LoopUsage()
         self._loop = asyncio.get_running_loop()
@@ -57,7 +59,10 @@
         self._loop.call_soon_threadsafe(self._run)
 
     def _is_full(self) -> bool:
-        return len(self._messages) >= MESSAGES_MAX or self._bytes >= BYTES_MAX
+        return (
+            len(self._messages) >= MESSAGES_MAX
+            or self._bytes >= self._bytes_max
+        )
 
     def _drop(self) -> None:
         self.dropped += 1
--- a/chiverun/platform/serve.py
+++ b/chiverun/platform/serve.py
@@ -5,6 +5,8 @@
 
 import logbook
 
+from chiverun.core.bytebudget import ByteBudget
+from chiverun.core.bytebudget import limit_of
 from chiverun.core.edgesettings import EdgeSettings
 from chiverun.integrations.logs import set_up_stdout_logs
 from chiverun.integrations.readturns import ReadTurns
@@ -34,11 +36,13 @@
 
 async def _serve(cfg: EdgeSettings) -> None:
     turns = ReadTurns()
-    store = PlatformStore(address=cfg.store, turns=turns)
+    memory = ByteBudget(limit=limit_of(cfg.memory_bytes))
+    store = PlatformStore(address=cfg.store, turns=turns, memory=memory)
     edge = Edge(
         cfg=cfg,
         store=store,
         turns=turns,
+        memory=memory,
         header_codec=PlatformHeaderCodec(),
         read_settings=read_platform_settings,
     )
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import resource
 from typing import Any
 
 from chiverun.core.edgesettings import EdgeBounds
@@ -104,6 +105,7 @@
         bounds=_decode_bounds(values.field(body, "bounds", list)),
         capacity=_decode_capacity(body.get("limits") or {}),
         memory_bytes=_decode_memory(body.get("limits") or {}),
+        descriptors=_decode_descriptors(body.get("limits") or {}),
     )
 
 
@@ -114,6 +116,14 @@
     return int(_decode_number(limits, "memoryMb") * 1024 * 1024) or None
 
 
+def _decode_descriptors(limits: Any) -> int:
+    """Return the lesser of the platform's and the system's limit."""
+    system_max, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if not isinstance(limits, dict):
+        return system_max
+    return min(system_max, int(_decode_number(limits, "maxFds")) or system_max)
+
+
 def _decode_address(body: dict, name: str) -> Address:
     text = values.field(body, name, str)
     host, _, port = text.rpartition(":")
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -11,6 +11,7 @@
 import logbook
 import msgspec
 
+from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.catalog import Machine
 from chiverun.core.errors import DECODE_ERRORS
 from chiverun.core.exchange import Answered
@@ -70,9 +71,14 @@
     """Client with one persistent connection and one call at a time."""
 
     def __init__(
-        self, *, address: Address, turns: ReadTurns | None = None
+        self,
+        *,
+        address: Address,
+        turns: ReadTurns | None = None,
+        memory: ByteBudget | None = None,
     ) -> None:
         self._address = address
+        self._memory = memory
         self._turns = turns
         self._connection: ClientConnection | None = None
         self._timeout_s = CALL_TIMEOUT_S
@@ -187,7 +193,7 @@
             raise CatalogUnavailable(
                 f"{path}: status {response.status}; expected 200"
             )
-        return decode_body(response.body, path)
+        return decode_body(bytes(response.body), path)
 
     async def _call(
         self, method: str, path: str, body: str, *, wait_s: float = 0.0
@@ -242,6 +248,7 @@
                     self._address,
                     timeout_s=CONNECT_TIMEOUT_S,
                     body_bytes_max=_BODY_BYTES_MAX,
+                    memory=self._memory,
                     part=LoopPart.STORE,
                     turns=self._turns,
                 )
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -12,7 +12,10 @@
 from chiverun.core.accounts import AccountTable
 from chiverun.core.accounts import unknown_homes
 from chiverun.core.bytebudget import ByteBudget
-from chiverun.core.bytebudget import MEMORY_FRACTION
+from chiverun.core.bytebudget import limit_of
+from chiverun.core.callerlimits import entry_limits
+from chiverun.core.callerlimits import service_limits
+from chiverun.core.catalog import ClientLimits
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import RouteTable
@@ -29,6 +32,7 @@
 from chiverun.integrations.asyncserver import listen
 from chiverun.integrations.asyncserver import ListenerState
 from chiverun.integrations.asyncserver import OutgoingResponse
+from chiverun.integrations.callerrefusals import CallerRefusals
 from chiverun.integrations.catalogstore import CatalogStore
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.peers import ZmqPeers
@@ -60,6 +64,16 @@
 # Part of the grace period reserved for exit: sockets linger, and the
 # interpreter shuts down slowly on a slow machine.
 STOP_EXIT_RESERVE_S = 0.9
+# Part of the memory of peers' bytes for messages of other instances.
+_INBOX_FRACTION = 0.25
+# Limits of readiness, look-up and metrics calls, which have no bodies.
+_SERVICE_LIMITS = ClientLimits(
+    header_bytes=8 * 1024,
+    body_bytes=1024,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+_SERVICE_BYTES = 1024 * 1024
 _STOP_POLL_S = 0.05
 _RESTART_PAUSE_S = 0.5
 
@@ -75,8 +89,11 @@
         header_codec: HeaderCodec,
         read_settings: Callable[[], EdgeSettings],
         turns: ReadTurns | None = None,
+        memory: ByteBudget | None = None,
     ) -> None:
         self.cfg = cfg
+        if memory is None:
+            memory = ByteBudget(limit=limit_of(cfg.memory_bytes))
         self._read_settings = read_settings
         self._loop = asyncio.get_running_loop()
         self._turns = turns = turns or ReadTurns()
@@ -102,8 +119,12 @@
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
             usage=turns.usage,
+            inbox_bytes=int(_INBOX_FRACTION * memory.limit),
         )
         self.metrics = EdgeMetrics()
+        self._caller_refusals = CallerRefusals(
+            count=self.metrics.record_caller_refusal
+        )
         self._loop_watch = LoopWatch(usage=turns.usage, metrics=self.metrics)
         self._servers = ServerTable(machine=cfg.name)
         self._limits = LimitExchange(
@@ -125,7 +146,6 @@
             fleet=self.follower.table.fleet,
             region_zones=self._region_zones,
         )
-        memory = _body_memory(cfg)
         self._sender = Sender(
             header_codec=header_codec, memory=memory, turns=turns
         )
@@ -154,7 +174,13 @@
         )
         self._loop.set_exception_handler(self._on_unexpected)
         self._entry = ListenerState(
-            handler=self._handle, memory=memory, turns=turns
+            handler=self._handle,
+            caller_limits=entry_limits(
+                memory_bytes=cfg.memory_bytes, descriptors=cfg.descriptors
+            ),
+            memory=memory,
+            refusals=self._caller_refusals,
+            turns=turns,
         )
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -210,9 +236,7 @@
         self.follower.start()
         await self._listen(self.cfg.entry, self._entry)
         for address, handler in handlers.items():
-            await self._listen(
-                address, ListenerState(handler=handler, turns=self._turns)
-            )
+            await self._listen(address, self._service_state(handler))
         self._start_task("follow", self.follower.follow)
         self._start_task("beat", self.follower.send_heartbeats_forever)
         self._start_task("cold", self._cold_checks.check_forever)
@@ -228,6 +252,20 @@
             },
         )
 
+    def _service_state(self, handler: Handler) -> ListenerState:
+        """Return a listener's state with memory and limits of its own.
+
+        It is used while clients take all that the entry listener has.
+        """
+        return ListenerState(
+            handler=handler,
+            limits=_SERVICE_LIMITS,
+            caller_limits=service_limits(descriptors=self.cfg.descriptors),
+            memory=ByteBudget(limit=_SERVICE_BYTES),
+            refusals=self._caller_refusals,
+            turns=self._turns,
+        )
+
     async def run(self) -> None:
         """Serve until a stop is requested, then shut down gracefully."""
         self._loop.add_signal_handler(signal.SIGTERM, self.request_stop)
@@ -361,10 +399,3 @@
                     "reason": fault.reason,
                 },
             )
-
-
-def _body_memory(cfg: EdgeSettings) -> ByteBudget:
-    """Return the bound on the bodies of all requests and responses."""
-    if cfg.memory_bytes is None:
-        return ByteBudget()
-    return ByteBudget(limit=int(cfg.memory_bytes * MEMORY_FRACTION))
--- a/chiverun/runtime/edgemetrics.py
+++ b/chiverun/runtime/edgemetrics.py
@@ -5,6 +5,7 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
+from chiverun.core.callerlimits import RefusalReason
 from chiverun.core.loopusage import LoopPart
 from chiverun.core.loopusage import Usage
 from chiverun.integrations.asyncserver import IncomingRequest
@@ -69,6 +70,9 @@
         self.unexpected_errors = meter.create_counter(
             "chiverun.unexpected_errors"
         )
+        self._callers_refused = meter.create_counter(
+            "chiverun.callers.refused"
+        )
         self.state_faults = meter.create_counter("chiverun.state.faults")
 
     def record_request(self, status: int, seconds: float) -> None:
@@ -76,6 +80,10 @@
         self._requests.add(1, {"status": str(status)})
         self._latency.record(seconds)
 
+    def record_caller_refusal(self, reason: RefusalReason) -> None:
+        """Count a client that was refused, or whose connection was closed."""
+        self._callers_refused.add(1, {"reason": reason.value})
+
     def record_loop(self, late_s: float, usages: list[Usage]) -> None:
         """Record how late the event loop was, and the usage meanwhile."""
         self._loop_late.record(late_s)
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -41,6 +41,7 @@
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
 from chiverun.integrations.catalogstore import HistoryCompacted
+from chiverun.integrations.inbox import BYTES_MAX
 from chiverun.integrations.inbox import Inbox
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.runtime.heartbeats import Heartbeats
@@ -75,6 +76,7 @@
         on_limits: Callable[[LimitReports], None],
         on_suspect: Callable[[SuspectReport], None],
         usage: LoopUsage | None = None,
+        inbox_bytes: int = BYTES_MAX,
     ) -> None:
         self.replica = Replica()
         self.table = PeerTable(me=me)
@@ -91,7 +93,9 @@
         self._on_suspect = on_suspect
         self._rng = random.Random(boot_id)
         self._loop = asyncio.get_running_loop()
-        self._inbox = Inbox(receive=self._receive, usage=usage)
+        self._inbox = Inbox(
+            receive=self._receive, usage=usage, bytes_max=inbox_bytes
+        )
         self._reads_store = False
         self._needs_full_read = True
         self._read_at = self._loop.time()
--- a/tests/core/test_bytebudget.py
+++ b/tests/core/test_bytebudget.py
@@ -5,6 +5,10 @@
 from nose2.tools import params
 
 from chiverun.core.bytebudget import ByteBudget
+from chiverun.core.bytebudget import limit_of
+from chiverun.core.bytebudget import STALLED_S
+
+_MIB = 1024 * 1024
 
 
 class ByteBudgetTest(unittest.TestCase):
@@ -49,3 +53,37 @@
         holding.release()
         self.assertEqual(0, self.budget.used)
         self.assertTrue(self.budget.has_room(100))
+
+    def test_stopped_is_dropped_before_the_larger_that_goes_on(self):
+        """Guards against honest uploads that fail for those that stopped."""
+        now = 0.0
+        budget = ByteBudget(limit=10 * _MIB, clock=lambda: now)
+        names = []
+        stopped = budget.hold(lambda: names.append("stopped"))
+        stopped.grow(2 * _MIB)
+        going_on = budget.hold(lambda: names.append("going on"))
+        for _ in range(9):
+            now += 1.0
+            going_on.grow(_MIB)
+        self.assertEqual(["stopped"], names)
+
+    def test_newcomer_gets_the_room_of_stalled_ones_only(self):
+        """Guards against callers kept out by those that have stopped.
+
+        What still makes progress is not given up for a newcomer.
+        """
+        now = 0.0
+        budget = ByteBudget(limit=100, clock=lambda: now)
+        budget.hold(lambda: None).grow(90)
+        self.assertFalse(budget.make_room(50))
+        now += 2 * STALLED_S
+        self.assertTrue(budget.make_room(50))
+        self.assertEqual(0, budget.used)
+
+    # Guards against one legal body that the memory of a machine refuses, and
+    # against a limit over what the process leaves of it.
+    @params((200, 64), (300, 64))
+    def test_limit(self, memory_mib, body_mib):
+        limit = limit_of(memory_mib * _MIB)
+        self.assertGreaterEqual(limit, body_mib * _MIB)
+        self.assertLess(limit, (memory_mib - 48) * _MIB)
--- a/tests/integrations/test_asyncserver.py
+++ b/tests/integrations/test_asyncserver.py
@@ -4,10 +4,13 @@
 import unittest
 from unittest import mock
 
+import logbook
+
+from chiverun.core import connectionchoice
 from chiverun.core.bytebudget import ByteBudget
+from chiverun.core.callerlimits import CallerLimits
 from chiverun.core.catalog import ClientLimits
 from chiverun.core.timeshare import TimeDebt
-from chiverun.integrations import asyncserver
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.asyncserver import listen
 from chiverun.integrations.asyncserver import ListenerState
@@ -210,17 +213,17 @@
     async def test_trickled_body_ends(self) -> None:
         """Guards against a body that a byte now and then keeps open."""
         head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\n"
-        with mock.patch.object(asyncserver, "BODY_TIMEOUT_S", 0.5):
-            reader, writer = await asyncio.open_connection(*self.address)
-            self.addCleanup(writer.close)
-            writer.write(head)
-            reading = asyncio.create_task(reader.read())
-            for _ in range(40):
-                if reading.done():
-                    break
-                writer.write(b"b")
-                await asyncio.sleep(0.1)
-            response = await asyncio.wait_for(reading, _TIMEOUT_S)
+        self.state.caller_limits = CallerLimits(body_timeout_s=0.5)
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(head)
+        reading = asyncio.create_task(reader.read())
+        for _ in range(40):
+            if reading.done():
+                break
+            writer.write(b"b")
+            await asyncio.sleep(0.1)
+        response = await asyncio.wait_for(reading, _TIMEOUT_S)
         self.assertEqual(b"408", response[9:12])
 
     async def test_half_a_head_is_not_idle(self) -> None:
@@ -291,3 +294,81 @@
         await asyncio.sleep(0.3)
         self.assertEqual(handled, len(self.handled_requests))
         self.assertLess(handled, 18_000)
+
+    async def test_request_behind_a_closing_response_has_not_run(self) -> None:
+        """Guards against a run whose response is lost with the connection."""
+        response = await self._send(
+            b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            + b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n" * 500
+        )
+        self.assertEqual(1, response.count(b"HTTP/1.1 200"))
+        self.assertEqual(["/a"], [r.target for r in self.handled_requests])
+
+    async def test_much_sent_ahead_has_not_run(self) -> None:
+        """Guards against requests that pile up behind one that runs."""
+        finish = asyncio.Event()
+
+        async def handle(incoming: IncomingRequest) -> OutgoingResponse:
+            self.handled_requests.append(incoming)
+            await finish.wait()
+            return OutgoingResponse(status=200, headers=[])
+
+        self.state.handler = handle
+        raw = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(raw)
+        while not self.handled_requests:
+            await asyncio.sleep(0.01)
+        writer.write(raw * 10_000)
+        await asyncio.sleep(0.3)
+        self.assertLess(self.state.memory.used, 256 * 1024)
+        finish.set()
+        response = await asyncio.wait_for(reader.read(), _TIMEOUT_S)
+        self.assertIn(b"Connection: close", response)
+        self.assertEqual(1, len(self.handled_requests))
+
+    async def test_refusal_quotes_nothing_of_the_request(self) -> None:
+        """Guards against API keys in logs and responses."""
+        cases = (
+            b"GET /a HTTP/1.1\r\nHost: x\r\nApi-Key secret\r\n\r\n",
+            b"GET /a HTTP/1.1\r\nHost: x\r\nApi-Key: \0secret\r\n\r\n",
+            b"secret\r\n\r\n",
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: secret\r\n\r\n",
+            b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\nsecret\r\n",
+        )
+        logs = logbook.TestHandler(level=logbook.DEBUG, bubble=False)
+        with logs.applicationbound():
+            for raw in cases:
+                response = await self._send(raw)
+                self.assertEqual(b"400", response[9:12])
+                self.assertNotIn(b"secret", response)
+        lines = [f"{row.message} {row.extra}" for row in logs.records]
+        self.assertEqual(len(cases), len(lines))
+        self.assertNotIn("secret", "".join(lines))
+
+    async def test_full_listener_closes_idle_connections(self) -> None:
+        """Guards against silent callers that keep all others out."""
+        self.state.caller_limits = CallerLimits(connections=3)
+        for _ in range(3):
+            _, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+        await asyncio.sleep(0.01)
+        raw = b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        refused = await self._send(b"")
+        self.assertEqual(b"503", refused[9:12])
+        self.assertIn(b"X-Chiverun-Code: 310", refused)
+        with mock.patch.object(connectionchoice, "SPARED_S", 0.0):
+            await asyncio.sleep(0.1)
+            self.assertEqual(b"200", (await self._send(raw))[9:12])
+        self.assertLessEqual(len(self.state.connections), 3)
+
+    async def test_result_codes_of_refusals(self) -> None:
+        """Guards against refusals whose cause callers cannot tell."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+        slow = await self._send(head + b"Content-Length: 9\r\n\r\nhalf")
+        self.assertIn(b"X-Chiverun-Code: 311", slow)
+        self.state.memory.limit = 5
+        full = await self._send(head + b"Content-Length: 9\r\n\r\n")
+        self.assertIn(b"X-Chiverun-Code: 309", full)
