Let go of the head of a request that is refused or handled

The head of a refused request stayed until its connection was closed, up to 1 s later, and that of a running one lay in memory twice.

--- a/chiverun/core/callerlimits.py
+++ b/chiverun/core/callerlimits.py
@@ -68,8 +68,9 @@
     linger_bytes: int = 1024 * 1024
     # Fields of a head up to this number are part of a connection's memory.
     free_fields: int = 64
-    # Memory of a field beside its text, in the parser's and our own form.
-    field_bytes: int = 400
+    # Memory of a field, as the parser has it, as the handler gets it and as
+    # it is sent on.
+    field_bytes: int = 500
 
 
 def entry_limits(
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -95,7 +95,8 @@
         if self._linger_bytes is not None:
             self._discard(count)
             return
-        if self._request is None and not self._is_reading_head:
+        is_between = self._request is None and self._task is None
+        if is_between and not self._is_reading_head:
             # The limit counts from the first byte, so that a slow sender
             # cannot extend it.
             self._is_reading_head = True
@@ -251,6 +252,8 @@
         request = request_of(
             self._request, self._body.complete(), self._arrived_at
         )
+        # The parser's form of the head is of no use any more.
+        self._request = None
         self._held.pin()
         self._state.last_request_at = self._arrived_at
         self._task = self._loop.create_task(self._serve(request))
--- a/chiverun/integrations/callerconnection.py
+++ b/chiverun/integrations/callerconnection.py
@@ -67,6 +67,7 @@
         """Whether a request is being read or handled, or answered."""
         return (
             self._task is not None
+            or self._linger_bytes is not None
             or self._request is not None
             or self._is_reading_head
             or self._turn.is_waiting
@@ -197,8 +198,9 @@
     def _linger(self) -> None:
         """Close for writing, and discard what the caller still sends."""
         self._linger_bytes = self._state.caller_limits.linger_bytes
-        # The parser's buffer is of no use any more.
+        # The head and the parser's buffer are of no use any more.
         self._http = None
+        self._request = None
         if not self._transport.can_write_eof():
             self._transport.close()
             return
