Let large reads wait in a pass of the event loop that takes long

Each of many connections could take a turn of 1 ms, and 20 ms in all, before it waited, so that a crowd held the loop for seconds.

--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -45,6 +45,8 @@
 BACKLOG = 1024
 # Bytes that wait, up to this number, are part of a connection's memory.
 _FREE_BYTES = 2048
+# More than the head of a usual request, with a small body.
+_LARGE_READ_BYTES = 8 * 1024
 # Statuses whose responses have neither a body nor a Content-Length.
 _BODILESS_STATUSES = (204, 304)
 
@@ -104,7 +106,7 @@
             self._timeout.set(self._state.limits.header_timeout_s)
         self._activity.note(count, self._loop.time())
         self._unread.add(bytes(self._state.turns.buffer[:count]))
-        self._turn.run()
+        self._turn.run(is_large=count > _LARGE_READ_BYTES)
         if self._is_ended:
             return
         if self._task is not None:
--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -22,6 +22,9 @@
 
 # What a connection receives at once; its bytes may have to wait.
 READ_BYTES = 64 * 1024
+# Time in one pass of the event loop after which reads of many bytes wait: each
+# of a thousand connections could take a turn before anything else runs.
+PASS_S = 0.02
 # A turn that took longer was interrupted: the process did not run.
 CHARGE_MAX_S = 0.003
 
@@ -59,14 +62,18 @@
         """Whether received bytes wait for their turn."""
         return self._turns.is_waiting(self)
 
-    def run(self) -> None:
-        """Process what was received, now or in turns."""
+    def run(self, *, is_large: bool = False) -> None:
+        """Process what was received, now or in turns.
+
+        A large read waits if this pass of the event loop has taken long.
+        """
         if self.is_waiting:
             return
         now = time.monotonic()
-        if not self.debt.must_wait(now) and self._turns.process(
-            self, now + TURN_S
-        ):
+        must_wait = self.debt.must_wait(now) or (
+            is_large and self._turns.is_pass_long
+        )
+        if not must_wait and self._turns.process_now(self, now + TURN_S):
             return
         self._turns.enqueue(self)
         self._log_first_wait(now)
@@ -105,6 +112,8 @@
         self._waiting: dict[Turn, None] = {}
         self._pace = Pace()
         self._timer: asyncio.TimerHandle | None = None
+        # Time of reads that did not wait, in this pass of the event loop.
+        self._pass_s = 0.0
 
     def open(self, source: Source, reader: Reader) -> Turn:
         """Return the place of a new reader."""
@@ -119,6 +128,24 @@
         """Return whether a reader waits."""
         return turn in self._waiting
 
+    @property
+    def is_pass_long(self) -> bool:
+        """Whether this pass of the event loop has taken long."""
+        return self._pass_s > PASS_S
+
+    def process_now(self, turn: Turn, until: float) -> bool:
+        """Process events without waiting; return whether none is left."""
+        if not self._pass_s:
+            asyncio.get_running_loop().call_soon(self._end_pass)
+        started_at = time.monotonic()
+        try:
+            return self.process(turn, until)
+        finally:
+            self._pass_s += time.monotonic() - started_at
+
+    def _end_pass(self) -> None:
+        self._pass_s = 0.0
+
     def process(self, turn: Turn, until: float) -> bool:
         """Process events of a reader; return whether none is left."""
         started_at = now = time.monotonic()
