Keep the path of a sound request as lean as before

Head and small body of a response are one call of the system; the time of reads is summed in a window instead of a callback a pass.

--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -47,6 +47,8 @@
 _FREE_BYTES = 2048
 # More than the head of a usual request, with a small body.
 _LARGE_READ_BYTES = 8 * 1024
+# A body up to this size is sent together with the head.
+_JOINED_BODY_BYTES_MAX = 16 * 1024
 # Statuses whose responses have neither a body nor a Content-Length.
 _BODILESS_STATUSES = (204, 304)
 
@@ -111,7 +113,8 @@
             return
         if self._task is not None:
             self._bound_ahead()
-        self._account(count)
+        else:
+            self._account(count)
 
     def _bound_ahead(self) -> None:
         """Read no further request if much is sent ahead."""
@@ -121,6 +124,7 @@
         is_over = ahead > self._state.caller_limits.ahead_bytes
         if is_over or not self._state.memory.has_room(ahead):
             self._drop_ahead()
+        self._account()
 
     def _drop_ahead(self) -> None:
         """Give up what follows the request that runs; it has not run."""
@@ -288,12 +292,13 @@
             headers.append(("Connection", "close"))
         self._activity.begin(self._loop.time())
         try:
-            self._write(
-                h11.Response(status_code=response.status, headers=headers)
-            )
+            head = h11.Response(status_code=response.status, headers=headers)
+            parts = [self._http.send(head)]
             for piece in pieces_of(body):
-                self._write_body(piece)
-            self._write(h11.EndOfMessage())
+                parts += self._http.send_with_data_passthrough(
+                    h11.Data(data=piece)
+                )
+            parts.append(self._http.send(h11.EndOfMessage()))
         except h11.LocalProtocolError:
             # The parser's message quotes the response.
             _LOG.error(
@@ -302,6 +307,11 @@
             )
             self._transport.abort()
             return
+        if len(body) <= _JOINED_BODY_BYTES_MAX:
+            # One call of the system instead of two.
+            parts = [b"".join(parts)]
+        for part in parts:
+            self._writer.write(part)
         if isinstance(response.body, Body):
             response.body.release()
         if self._writer.size > _FREE_BYTES:
@@ -355,11 +365,6 @@
     def _write(self, event: h11.Event) -> None:
         self._writer.write(self._http.send(event) or b"")
 
-    def _write_body(self, piece: memoryview) -> None:
-        data = h11.Data(data=piece)
-        for part in self._http.send_with_data_passthrough(data):
-            self._writer.write(part)
-
     def _on_timeout(self) -> None:
         if self._writer.size:
             self._check_reader()
--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -22,9 +22,10 @@
 
 # What a connection receives at once; its bytes may have to wait.
 READ_BYTES = 64 * 1024
-# Time in one pass of the event loop after which reads of many bytes wait: each
+# Time that reads may take in a window; further ones of many bytes wait. Each
 # of a thousand connections could take a turn before anything else runs.
-PASS_S = 0.02
+WINDOW_S = 0.1
+WINDOW_READS_S = 0.03
 # A turn that took longer was interrupted: the process did not run.
 CHARGE_MAX_S = 0.003
 
@@ -65,15 +66,15 @@
     def run(self, *, is_large: bool = False) -> None:
         """Process what was received, now or in turns.
 
-        A large read waits if this pass of the event loop has taken long.
+        A large read waits if reads have lately taken much of the time.
         """
         if self.is_waiting:
             return
         now = time.monotonic()
         must_wait = self.debt.must_wait(now) or (
-            is_large and self._turns.is_pass_long
+            is_large and self._turns.is_crowded(now)
         )
-        if not must_wait and self._turns.process_now(self, now + TURN_S):
+        if not must_wait and self._turns.process(self, now + TURN_S):
             return
         self._turns.enqueue(self)
         self._log_first_wait(now)
@@ -112,8 +113,9 @@
         self._waiting: dict[Turn, None] = {}
         self._pace = Pace()
         self._timer: asyncio.TimerHandle | None = None
-        # Time of reads that did not wait, in this pass of the event loop.
-        self._pass_s = 0.0
+        # When the window began, and the time of reads in it.
+        self._window_at = 0.0
+        self._window_s = 0.0
 
     def open(self, source: Source, reader: Reader) -> Turn:
         """Return the place of a new reader."""
@@ -128,23 +130,12 @@
         """Return whether a reader waits."""
         return turn in self._waiting
 
-    @property
-    def is_pass_long(self) -> bool:
-        """Whether this pass of the event loop has taken long."""
-        return self._pass_s > PASS_S
-
-    def process_now(self, turn: Turn, until: float) -> bool:
-        """Process events without waiting; return whether none is left."""
-        if not self._pass_s:
-            asyncio.get_running_loop().call_soon(self._end_pass)
-        started_at = time.monotonic()
-        try:
-            return self.process(turn, until)
-        finally:
-            self._pass_s += time.monotonic() - started_at
-
-    def _end_pass(self) -> None:
-        self._pass_s = 0.0
+    def is_crowded(self, now: float) -> bool:
+        """Return whether reads have lately taken much of the time."""
+        if now - self._window_at > WINDOW_S:
+            self._window_at = now
+            self._window_s = 0.0
+        return self._window_s > WINDOW_READS_S
 
     def process(self, turn: Turn, until: float) -> bool:
         """Process events of a reader; return whether none is left."""
@@ -157,6 +148,7 @@
                 events += 1
                 now = time.monotonic()
         finally:
+            self._window_s += now - started_at
             turn.debt.charge(min(CHARGE_MAX_S, now - started_at), now)
             self.usage.add(turn.source, now - started_at, events)
         return not has_more
