--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -22,6 +22,10 @@
 
 # What a connection receives at once; its bytes may have to wait.
 READ_BYTES = 64 * 1024
+# Time that reads may take in a window; further ones of many bytes wait. Each
+# of a thousand connections could take a turn before anything else runs.
+WINDOW_S = 0.1
+WINDOW_READS_S = 0.03
 # A turn that took longer was interrupted: the process did not run.
 CHARGE_MAX_S = 0.003
 
@@ -59,14 +63,18 @@
         """Whether received bytes wait for their turn."""
         return self._turns.is_waiting(self)
 
-    def run(self) -> None:
-        """Process what was received, now or in turns."""
+    def run(self, *, is_large: bool = False) -> None:
+        """Process what was received, now or in turns.
+
+        A large read waits if reads have lately taken much of the time.
+        """
         if self.is_waiting:
             return
         now = time.monotonic()
-        if not self.debt.must_wait(now) and self._turns.process(
-            self, now + TURN_S
-        ):
+        must_wait = self.debt.must_wait(now) or (
+            is_large and self._turns.is_crowded(now)
+        )
+        if not must_wait and self._turns.process(self, now + TURN_S):
             return
         self._turns.enqueue(self)
         self._log_first_wait(now)
@@ -105,6 +113,9 @@
         self._waiting: dict[Turn, None] = {}
         self._pace = Pace()
         self._timer: asyncio.TimerHandle | None = None
+        # When the window began, and the time of reads in it.
+        self._window_at = 0.0
+        self._window_s = 0.0
 
     def open(self, source: Source, reader: Reader) -> Turn:
         """Return the place of a new reader."""
@@ -119,6 +130,13 @@
         """Return whether a reader waits."""
         return turn in self._waiting
 
+    def is_crowded(self, now: float) -> bool:
+        """Return whether reads have lately taken much of the time."""
+        if now - self._window_at > WINDOW_S:
+            self._window_at = now
+            self._window_s = 0.0
+        return self._window_s > WINDOW_READS_S
+
     def process(self, turn: Turn, until: float) -> bool:
         """Process events of a reader; return whether none is left."""
         started_at = now = time.monotonic()
@@ -130,6 +148,7 @@
                 events += 1
                 now = time.monotonic()
         finally:
+            self._window_s += now - started_at
             turn.debt.charge(min(CHARGE_MAX_S, now - started_at), now)
             self.usage.add(turn.source, now - started_at, events)
         return not has_more
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -43,6 +43,7 @@
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
 from chiverun.integrations.catalogstore import HistoryCompacted
+from chiverun.integrations.inbox import BYTES_MAX
 from chiverun.integrations.inbox import Inbox
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.runtime.heartbeats import Heartbeats
@@ -78,6 +79,7 @@
         on_suspect: Callable[[SuspectReport], None],
         on_quota: Callable[[QuotaReport | QuotaGrant], None] | None = None,
         usage: LoopUsage | None = None,
+        inbox_bytes: int = BYTES_MAX,
     ) -> None:
         self.replica = Replica()
         self.table = PeerTable(me=me)
@@ -95,7 +97,9 @@
         self._on_quota = on_quota
         self._rng = random.Random(boot_id)
         self._loop = asyncio.get_running_loop()
-        self._inbox = Inbox(receive=self._receive, usage=usage)
+        self._inbox = Inbox(
+            receive=self._receive, usage=usage, bytes_max=inbox_bytes
+        )
         self._reads_store = False
         self._needs_full_read = True
         self._read_at = self._loop.time()
