--- a/chiverun/core/quotacoordinator.py
+++ b/chiverun/core/quotacoordinator.py
@@ -271,6 +271,9 @@
     def _note_exhaustion(
         self, account: AccountName, bucket: Bucket, is_short: bool
     ) -> None:
+        if not bucket.fraction:
+            # Instances that find another coordinator soon.
+            return
         if bucket.is_exhausted:
             is_exhausted = bucket.level < SCARCE_PART * bucket.limit
         else:
