Receive callers' requests before a worker handles them

Change: the listener's thread receives requests and sends what callers have not read of responses. A worker gets a complete request and never waits for a caller. CallerLimits bounds connections, those of one address, held bytes and the time of heads, bodies and responses; each is a setting.

--- a/chiverun/core/settings.py
+++ b/chiverun/core/settings.py
@@ -36,6 +36,14 @@
     # One thread serves 4,079 look-ups/s where four serve 1,315 since threads
     # contend for the interpreter lock.
     lookup_threads: int = 1
+    # [callers]: None takes what the machine has
+    connections_max: int | None = None
+    address_connections_max: int | None = None
+    held_mib_max: int | None = None
+    idle_timeout_s: float = 30.0
+    head_timeout_s: float = 10.0
+    progress_timeout_s: float = 10.0
+    progress_bytes_per_s: int = 1024
     # [lookup]
     ttl_s: float = 2.0
     # [network]: announced address, address reachable from this instance
@@ -68,6 +76,15 @@
     "peers": ("seeds",),
     "platform": ("store", "instance_list", "store_timeout_ms"),
     "limits": ("entry_threads", "forward_threads", "lookup_threads"),
+    "callers": (
+        "connections_max",
+        "address_connections_max",
+        "held_mib_max",
+        "idle_timeout_s",
+        "head_timeout_s",
+        "progress_timeout_s",
+        "progress_bytes_per_s",
+    ),
     "lookup": ("ttl_s",),
     "network": ("address_map",),
     "telemetry": ("trace_ratio", "log_level"),
@@ -89,8 +106,18 @@
     "entry_threads": (1, 512),
     "forward_threads": (1, 512),
     "lookup_threads": (1, 64),
+    "connections_max": (8, 1000000),
+    "address_connections_max": (1, 1000000),
+    "held_mib_max": (8, 65536),
+    "progress_bytes_per_s": (1, 1048576),
+}
+_FLOAT_RANGES = {
+    "ttl_s": (0.1, 3600.0),
+    "trace_ratio": (0.0, 1.0),
+    "idle_timeout_s": (1.0, 3600.0),
+    "head_timeout_s": (1.0, 600.0),
+    "progress_timeout_s": (1.0, 600.0),
 }
-_FLOAT_RANGES = {"ttl_s": (0.1, 3600.0), "trace_ratio": (0.0, 1.0)}
 
 
 def read_settings(path: str | pathlib.Path) -> Settings:
--- a/chiverun/integrations/telemetry.py
+++ b/chiverun/integrations/telemetry.py
@@ -126,6 +126,9 @@
         self.lookups: metrics.Counter = meter.create_counter(
             "chiverun.lookups", unit="1"
         )
+        self.callers_refused: metrics.Counter = meter.create_counter(
+            "chiverun.callers.refused", unit="1"
+        )
         self.latency: metrics.Histogram = meter.create_histogram(
             "chiverun.request.duration", unit="s"
         )
--- a/chiverun/integrations/web.py
+++ b/chiverun/integrations/web.py
@@ -18,47 +18,27 @@
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 from cheroot import wsgi
-from cheroot.makefile import MakeFile
-from cheroot.makefile import StreamReader
 from urllib3.util.wait import wait_for_read
 
+from chiverun.core.callerlimits import CallerLimits
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import Outcome
 from chiverun.core.errors import ResultCode
 from chiverun.core.exchange import CODE_HEADER
 from chiverun.core.exchange import EXCHANGE_HEADER
 from chiverun.core.ids import Address
+from chiverun.integrations.callerconnections import CallerConnections
+from chiverun.integrations.callerfiles import CallerConnection
+from chiverun.integrations.headerreader import HeaderReader
 from chiverun.integrations.network import split_address
-from chiverun.integrations.threadpace import ConnectionPace
 
 BODY_BYTES_MAX = 1024 * 1024
 _HEADER_BYTES_MAX = 16 * 1024
-_IDLE_TIMEOUT_S = 30
 # cheroot's default of 10 makes most callers connect for each request.
 _KEEP_ALIVE_CONNECTIONS_MAX = 1024
-# Longest wait of a costly caller's thread before it reads on.
-_PACE_WAIT_MAX_S = 1.0
+_DEFAULT_LIMITS = CallerLimits()
 _SOCKET_ENVIRON_KEY = "chiverun.socket"
-_HEADER_LINE_PATTERN = re.compile(
-    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n"
-)
 _TARGET_PATTERN = re.compile(rb"/[\x21-\x7e]*")
-# Rejects overlong numbers before they are converted.
-_LENGTH_PATTERN = re.compile(rb"[0-9]{1,18}")
-_SINGLETON_HEADERS = frozenset(
-    {
-        b"content-length",
-        b"host",
-        b"idempotency-key",
-        b"transfer-encoding",
-        b"x-chiverun-class",
-        b"x-chiverun-exchange",
-        b"x-chiverun-source",
-        b"x-deadline-epoch-ms",
-        b"x-deadline-ms",
-        b"x-request-id",
-    }
-)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -132,52 +112,16 @@
 _DRAIN_POLL_S = 0.02
 
 
-class _HeaderReader(cheroot_server.HeaderReader):
-    """Rejects ambiguous headers, which allow request smuggling.
-
-    If two HTTP implementations disagree on a body's length, one of them
-    parses the rest of a request as another request. Header names with an
-    underscore are dropped, since WSGI maps them to names with a hyphen.
-    """
-
-    def __call__(self, rfile, hdict=None):
-        headers = super().__call__(_HeaderLineReader(rfile), hdict)
-        length = headers.get(b"Content-Length")
-        coding = headers.get(b"Transfer-Encoding")
-        if length is not None and not _LENGTH_PATTERN.fullmatch(length):
-            raise ValueError("Malformed Content-Length.")
-        if coding is not None and coding != b"chunked":
-            raise ValueError("Transfer-Encoding other than chunked.")
-        if length is not None and coding is not None:
-            raise ValueError("Content-Length with Transfer-Encoding.")
-        return headers
-
-    def _allow_header(self, key_name: bytes) -> bool:
-        return b"_" not in key_name
-
-
-class _HeaderLineReader:
-    """Reads header lines; rejects folded, malformed and repeated ones."""
-
-    def __init__(self, rfile) -> None:
-        self._rfile = rfile
-        self._names: set[bytes] = set()
-
-    def readline(self, *args):
-        line = self._rfile.readline(*args)
-        if line in (b"", b"\r\n"):
-            return line
-        if not _HEADER_LINE_PATTERN.fullmatch(line):
-            raise ValueError("Malformed header line.")
-        name = line.partition(b":")[0].lower()
-        if name in _SINGLETON_HEADERS and name in self._names:
-            raise ValueError(f"Repeated {name.decode()}.")
-        self._names.add(name)
-        return line
+def _ignore(_reason: str) -> None:
+    """Count nothing."""
 
 
 class _Request(cheroot_server.HTTPRequest):
-    header_reader = _HeaderReader()
+    def __init__(self, server, conn, *args, **kwargs) -> None:
+        super().__init__(server, conn, *args, **kwargs)
+        self.header_reader = HeaderReader(
+            has_sent_continue=conn.has_sent_continue
+        )
 
     def read_request_headers(self) -> bool:
         if not _TARGET_PATTERN.fullmatch(self.uri):
@@ -211,20 +155,8 @@
             outcome, code = Outcome.NOT_RUN, ResultCode.REQUEST_MALFORMED
         response = error_response(int(text[:3]), outcome, code, msg or text)
         self.status = text.encode("latin-1")
-        self.outheaders = [
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in (
-                *response.headers,
-                ("Content-Length", str(len(response.body))),
-                ("Connection", "close"),
-            )
-        ]
-        lines = [b"HTTP/1.1 " + self.status]
-        lines += [name + b": " + value for name, value in self.outheaders]
         with contextlib.suppress(OSError):
-            self.conn.wfile.write(
-                b"\r\n".join(lines) + b"\r\n\r\n" + response.body
-            )
+            self.conn.wfile.write(_closing_bytes(self.status, response))
 
     def send_headers(self) -> None:
         # Bytes received before the response is sent are a pipelined request
@@ -239,52 +171,82 @@
         super().send_headers()
 
 
-class _PacedReader(StreamReader):
-    """Reads requests at the pace of a costly caller."""
-
-    def __init__(self, sock, mode, bufsize) -> None:
-        super().__init__(sock, mode, bufsize)
-        self.pace = ConnectionPace()
-        self.read_raw = self.raw.readinto
-        self.raw.readinto = self._read_paced
-
-    def _read_paced(self, buffer) -> int | None:
-        self.pace.before_read(_PACE_WAIT_MAX_S)
-        return self.read_raw(buffer)
+def _closing_bytes(status: bytes, response: Response) -> bytes:
+    """Return a response after which the connection is closed."""
+    lines = [b"HTTP/1.1 " + status]
+    lines += [
+        f"{name}: {value}".encode("latin-1")
+        for name, value in (
+            *response.headers,
+            ("Content-Length", str(len(response.body))),
+            ("Connection", "close"),
+        )
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + response.body
 
 
-def _make_file(sock, mode="r", bufsize=io.DEFAULT_BUFFER_SIZE):
-    if "r" in mode:
-        return _PacedReader(sock, mode, bufsize)
-    return MakeFile(sock, mode, bufsize)
+def _make_refusal(status: int, code: ResultCode, message: str) -> bytes:
+    """Return the response to a request that no worker has received."""
+    response = error_response(status, Outcome.NOT_RUN, code, message)
+    text = f"{status} {_reason_phrase(status)}"
+    return _closing_bytes(text.encode("latin-1"), response)
 
 
-class _Connection(cheroot_server.HTTPConnection):
+class _Connection(CallerConnection):
     RequestHandlerClass = _Request
 
-    def __init__(self, server, sock, makefile=MakeFile) -> None:
-        super().__init__(server, sock, _make_file)
-
-    def communicate(self) -> bool:
-        self.rfile.pace.begin_message()
-        # A caller that stops in the middle of a request occupies a thread.
-        self.socket.settimeout(self.server.read_timeout_s)
-        return super().communicate()
-
 
 class _Gateway(wsgi.Gateway_10):
-    """Adds the caller's socket to the WSGI environment."""
+    """Adds the caller's socket and joined chunks to the environment."""
 
     def get_environ(self) -> dict[str, Any]:
         env = super().get_environ()
         env[_SOCKET_ENVIRON_KEY] = self.req.conn.socket
+        chunked_body = self.req.conn.frame.chunked_body
+        if self.req.chunked_read and chunked_body is not None:
+            env["wsgi.input"] = io.BytesIO(chunked_body)
         return env
 
 
+class _Server(wsgi.Server):
+    """Receives requests before a worker handles them."""
+
+    def prepare(self) -> None:
+        super().prepare()
+        # Accepts until no connection is left, without waiting for one.
+        self.socket.settimeout(0.0)
+        self._connections.close()
+        self._connections = CallerConnections(
+            self,
+            name=self.listener_name,
+            limits=self.limits,
+            make_refusal=_make_refusal,
+            count=self.count_refusal,
+            hand_over=self.process_conn,
+        )
+
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request or a response is incomplete."""
+        return self._connections.is_busy
+
+
 class WebServer:
     """One listening address with its own threads.
 
-    `read_timeout_s` bounds each wait for more bytes of a request.
+    Parameters
+    ----------
+    address : Address
+    handler : callable
+    threads : int
+        Requests handled at a time.
+    name : str
+        Name of the listener in log lines.
+    limits : CallerLimits
+    body_bytes_max : int
+        Largest body of a request.
+    count_refusal : callable
+        Called with the reason of each refused or closed connection.
     """
 
     def __init__(
@@ -293,24 +255,29 @@
         address: Address,
         handler: Handler,
         threads: int,
-        read_timeout_s: float = 10.0,
+        name: str = "web",
+        limits: CallerLimits = _DEFAULT_LIMITS,
+        body_bytes_max: int = BODY_BYTES_MAX,
+        count_refusal: Callable[[str], None] = _ignore,
     ) -> None:
         self._handler = handler
-        self._server = wsgi.Server(
+        self._server = _Server(
             split_address(address),
             self._application,
             numthreads=threads,
             max=threads,
             request_queue_size=128,
-            timeout=_IDLE_TIMEOUT_S,
+            timeout=limits.idle_s,
             shutdown_timeout=2,
         )
         self._server.ConnectionClass = _Connection
         self._server.gateway = _Gateway
         self._server.max_request_header_size = _HEADER_BYTES_MAX
-        self._server.max_request_body_size = BODY_BYTES_MAX
+        self._server.max_request_body_size = body_bytes_max
         self._server.keep_alive_conn_limit = _KEEP_ALIVE_CONNECTIONS_MAX
-        self._server.read_timeout_s = read_timeout_s
+        self._server.listener_name = name
+        self._server.limits = limits
+        self._server.count_refusal = count_refusal
         self._server.error_log = _discard_log
         self._thread: threading.Thread | None = None
 
@@ -356,7 +323,11 @@
 
     def _is_idle(self) -> bool:
         pool = self._server.requests
-        return pool.qsize == 0 and pool.idle >= self._server.requests.min
+        return (
+            pool.qsize == 0
+            and pool.idle >= pool.min
+            and not self._server.is_receiving
+        )
 
     def stop(self) -> None:
         """Close the listener and end the threads."""
--- a/chiverun/runtime/instance.py
+++ b/chiverun/runtime/instance.py
@@ -11,6 +11,7 @@
 import pykka
 
 from chiverun.core.admission import Admission
+from chiverun.core.callerlimits import Listener
 from chiverun.core.clock import SystemClock
 from chiverun.core.errors import ChiverunError
 from chiverun.core.idempotency import KeyTable
@@ -31,7 +32,6 @@
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.integrations.store import HttpStore
 from chiverun.integrations.telemetry import Telemetry
-from chiverun.integrations.web import WebServer
 from chiverun.runtime.control import BeginStop
 from chiverun.runtime.control import ControlPlane
 from chiverun.runtime.control import Event
@@ -43,6 +43,7 @@
 from chiverun.runtime.execution import Executor
 from chiverun.runtime.forward import ForwardHandler
 from chiverun.runtime.healthcheck import HealthCheck
+from chiverun.runtime.listeners import make_listeners
 from chiverun.runtime.public import LookupHandler
 from chiverun.runtime.status import StatusSources
 from chiverun.runtime.storeworker import HeadWatch
@@ -60,7 +61,6 @@
 # Time in which requests that were received before the listeners close are
 # answered.
 STOP_DRAIN_S = 3.0
-LOOKUP_READ_TIMEOUT_S = 1.0
 # Allows responses to be written after the longest request deadline.
 RESPONSE_MARGIN_S = 5.0
 _WAIT_POLL_S = 0.05
@@ -233,24 +233,15 @@
             instances=self._instance_list(),
             report=self._send_to_control,
         )
-        self._servers = [
-            WebServer(
-                address=cfg.lookup_address,
-                handler=public.handle,
-                threads=cfg.lookup_threads,
-                read_timeout_s=LOOKUP_READ_TIMEOUT_S,
-            ),
-            WebServer(
-                address=cfg.entry_address,
-                handler=self._entry.handle,
-                threads=cfg.entry_threads,
-            ),
-            WebServer(
-                address=cfg.forward_address,
-                handler=self._forward.handle,
-                threads=cfg.forward_threads,
-            ),
-        ]
+        self._servers = make_listeners(
+            cfg=cfg,
+            telemetry=self._telemetry,
+            handlers={
+                Listener.LOOKUP: public.handle,
+                Listener.ENTRY: self._entry.handle,
+                Listener.FORWARD: self._forward.handle,
+            },
+        )
 
     def _instance_list(self) -> HttpInstanceList | None:
         if self._cfg.instance_list is None:
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -58,6 +58,8 @@
         ("limits", "entry_threads", "many", None, "int from 1 to 512"),
         ("limits", "entry_threads", "0", None, "'0'"),
         ("lookup", "ttl_s", "nan", None, "float from 0.1"),
+        ("callers", "connections_max", "0", None, "int from 8"),
+        ("callers", "head_timeout_s", "0.1", None, "float from 1.0"),
         ("telemetry", "log_level", "LOUD", None, "one of DEBUG"),
         ("extra", "key", "1", ResultCode.SETTING_UNKNOWN, "[extra]"),
     )
