--- a/tests/runtime/test_loopwatch.py
+++ b/tests/runtime/test_loopwatch.py
@@ -39,7 +39,7 @@
         self.assertEqual(_SOURCE.peer, first["peer"])
         self.assertEqual(43_000, first["events"])
         text = (await metrics.handle(None)).body.decode()
-        self.assertIn("chiverun_loop_held_seconds_total{otel", text)
+        self.assertIn("chiverun_loop_held_seconds_total{part", text)
         self.assertIn(f'part="{_SOURCE.part.value}"', text)
         self.assertIn("chiverun_loop_late_seconds_bucket", text)
         self.assertEqual(callbacks, gc.callbacks)
