Let region shares follow the measured demand of regions

Regions got shares of each other's requests as if demand were even, so a swing of demand overloaded one region while others had free slots.

Instances report their arrivals to the first hub of their region, hubs exchange the sums, and each distributes offsets of its region's shares. `choose_place` lays the source's share between those of the other regions, so that a share which grows moves no third region's keys; with two regions, and for zones, keys are placed as before.

Limits that servers name are shared by records only, as before. Requests that only some regions may serve keep even shares. CHIVERUN_SHARE_LOADS=false turns the exchange off.

--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -9,7 +9,9 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
+from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServerName
+from chiverun.core.ids import ServiceName
 from chiverun.core.replica import VersionedRecord
 from chiverun.core.revisions import Revision
 from chiverun.core.suspects import EndedServer
@@ -111,8 +113,69 @@
     ]
 
 
+# A message names no more services, servers or regions.
+REPORT_ROWS_MAX = 4096
+Amount = Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Offset = Annotated[float, msgspec.Meta(ge=-1, le=1)]
+
+
+class DemandReport(msgspec.Struct, frozen=True, kw_only=True, tag="d"):
+    """How many requests an instance has received since it started.
+
+    `at_s` is the instance's own clock. `wants_goals` asks for a `ShareGoals`
+    at once.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    at_s: Amount
+    arrivals: Annotated[
+        dict[ServiceName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    wants_goals: bool = False
+
+
+class RegionDemand(msgspec.Struct, frozen=True, kw_only=True, tag="r"):
+    """The smoothed request rate of a region, from its hub to other regions.
+
+    `is_relayed` marks one that an instance has passed on to its hub.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    region: RegionName
+    per_s: Annotated[
+        dict[ServiceName, Amount], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    is_relayed: bool = False
+
+
+class ShareGoals(msgspec.Struct, frozen=True, kw_only=True, tag="g"):
+    """Offsets of a region's shares by service, from its hub.
+
+    `number` grows with each message of a process.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    offsets: Annotated[
+        dict[ServiceName, dict[RegionName, _Offset]],
+        msgspec.Meta(max_length=REPORT_ROWS_MAX),
+    ]
+
+
+DemandMessage = DemandReport | RegionDemand | ShareGoals
 EdgeMessage = (
-    Heartbeat | Update | Pull | Snapshot | LimitReports | SuspectReport
+    Heartbeat
+    | Update
+    | Pull
+    | Snapshot
+    | LimitReports
+    | SuspectReport
+    | DemandMessage
 )
 
 # Compression gains nothing for smaller messages.
--- a/chiverun/core/edgesettings.py
+++ b/chiverun/core/edgesettings.py
@@ -54,3 +54,5 @@
     capacity: float = 1.0
     # Memory that the process may use, None if unknown.
     memory_bytes: int | None = None
+    # Whether instances exchange the demand for services.
+    share_loads: bool = True
--- a/chiverun/core/placement.py
+++ b/chiverun/core/placement.py
@@ -8,6 +8,7 @@
 """
 
 import functools
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import TypeVar
@@ -116,22 +117,35 @@
 
 
 def choose_place(
-    level: str, key: str, shares: Mapping[Place, float], source: Place
+    level: str,
+    key: str,
+    shares: Mapping[Place, float],
+    source: Place,
+    before: Collection[Place] = (),
 ) -> Place:
     """Return the place of a key by the shares of a source.
 
-    `level` makes the choice of a region independent of that of a zone.
+    The shares lie side by side, that of the source after those of the places
+    `before`. A share that grows at the source's cost then moves only the
+    shares between them. `level` makes the choice of a region independent of
+    that of a zone.
     """
     point = hash_fraction(f"{level}\0{key}")
-    cumulative = shares.get(source, 0.0)
-    if point < cumulative:
-        return source
-    last = source
-    for place in sorted(shares):
-        if place == source:
-            continue
-        last = place
-        cumulative += shares[place]
+    others = sorted(place for place in shares if place != source)
+    ordered = [
+        *(place for place in others if place in before),
+        source,
+        *(place for place in others if place not in before),
+    ]
+    cumulative = 0.0
+    for place in ordered:
+        cumulative += shares.get(place, 0.0)
         if point < cumulative:
             return place
-    return last
+    return ordered[-1]
+
+
+def places_before(places: Collection[Place], source: Place) -> list[Place]:
+    """Return the half of the other places that is laid before a source."""
+    others = sorted(place for place in places if place != source)
+    return others[: len(others) // 2]
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -17,6 +17,8 @@
 from chiverun.platform import values
 
 PATH_VARIABLE = "CHIVERUN_CONFIG"
+# The platform's settings file has no place for settings of the deployment.
+SHARE_LOADS_VARIABLE = "CHIVERUN_SHARE_LOADS"
 # Link that a machine with one core needs to be limited by its core alone.
 LINK_MBPS_PER_CORE = 100.0
 
@@ -60,7 +62,19 @@
             ResultCode.FILE_NOT_READABLE,
             f"cannot read settings file {path}: {exc}",
         ) from exc
-    return decode_settings(text)
+    return dataclasses.replace(
+        decode_settings(text), share_loads=_read_share_loads()
+    )
+
+
+def _read_share_loads() -> bool:
+    text = os.environ.get(SHARE_LOADS_VARIABLE, "true")
+    if text not in ("true", "false"):
+        raise ChiverunError(
+            ResultCode.SETTING_INVALID,
+            f"{SHARE_LOADS_VARIABLE} is {text!r}; valid: true or false",
+        )
+    return text == "true"
 
 
 def decode_settings(text: str) -> EdgeSettings:
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -34,6 +34,7 @@
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.runtime.coldchecks import ColdChecks
+from chiverun.runtime.demandexchange import DemandExchange
 from chiverun.runtime.directory import Directory
 from chiverun.runtime.edgemetrics import EdgeMetrics
 from chiverun.runtime.follower import CatalogFollower
@@ -101,6 +102,7 @@
             on_change=self._apply_catalog,
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
+            on_demand=lambda message: self._demand.receive(message),
             usage=turns.usage,
         )
         self.metrics = EdgeMetrics()
@@ -111,6 +113,13 @@
             table=self.follower.table,
             peers=self._peers,
         )
+        self._demand = DemandExchange(
+            servers=self._servers,
+            table=self.follower.table,
+            peers=self._peers,
+            boot_id=self._boot_id,
+            regions=cfg.regions,
+        )
         suspects = SuspectTable()
         self._suspects = SuspectExchange(
             suspects=suspects, table=self.follower.table, peers=self._peers
@@ -124,6 +133,7 @@
             machine=cfg.name,
             fleet=self.follower.table.fleet,
             region_zones=self._region_zones,
+            offsets=self._demand.applied,
         )
         memory = _body_memory(cfg)
         self._sender = Sender(
@@ -141,6 +151,7 @@
             suspects=suspects,
             on_end=self._suspects.record_end,
             quotas=Unlimited(),
+            arrivals=self._demand.arrivals,
         )
         self._cold_checks = ColdChecks(
             table=self._servers,
@@ -217,6 +228,8 @@
         self._start_task("beat", self.follower.send_heartbeats_forever)
         self._start_task("cold", self._cold_checks.check_forever)
         self._start_task("limits", self._limits.send_forever)
+        if self.cfg.share_loads:
+            self._start_task("demand", self._demand.exchange_forever)
         self._start_task("loop", self._loop_watch.watch_forever)
         _LOG.info(
             "started",
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -17,9 +17,13 @@
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import Server
+from chiverun.core.edgemessages import DemandMessage
+from chiverun.core.edgemessages import DemandReport
 from chiverun.core.edgemessages import Heartbeat
 from chiverun.core.edgemessages import LimitReports
 from chiverun.core.edgemessages import Pull
+from chiverun.core.edgemessages import RegionDemand
+from chiverun.core.edgemessages import ShareGoals
 from chiverun.core.edgemessages import Snapshot
 from chiverun.core.edgemessages import SuspectReport
 from chiverun.core.edgemessages import Update
@@ -74,6 +78,7 @@
         on_change: Callable[[], None],
         on_limits: Callable[[LimitReports], None],
         on_suspect: Callable[[SuspectReport], None],
+        on_demand: Callable[[DemandMessage], None] = lambda message: None,
         usage: LoopUsage | None = None,
     ) -> None:
         self.replica = Replica()
@@ -89,6 +94,7 @@
         self._on_change = on_change
         self._on_limits = on_limits
         self._on_suspect = on_suspect
+        self._on_demand = on_demand
         self._rng = random.Random(boot_id)
         self._loop = asyncio.get_running_loop()
         self._inbox = Inbox(receive=self._receive, usage=usage)
@@ -349,6 +355,8 @@
                 self._on_limits(message)
             case SuspectReport():
                 self._on_suspect(message)
+            case DemandReport() | RegionDemand() | ShareGoals():
+                self._on_demand(message)
             case Snapshot():
                 if message.as_of > self.replica.as_of:
                     self._apply_listing(message.items, message.as_of, "peer")
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -21,6 +21,8 @@
 from chiverun.core.placement import choose_place
 from chiverun.core.placement import rendezvous
 from chiverun.core.placement import zone_first
+from chiverun.core.regiondemand import ShareOffsets
+from chiverun.core.regiondemand import shifted_shares
 from chiverun.runtime.limitshares import LimitShares
 from chiverun.runtime.servertable import CONNECTIONS_FRACTION
 from chiverun.runtime.servertable import ServerRow
@@ -99,6 +101,7 @@
         machine: InstanceId,
         fleet: Callable[[], Collection[Machine]],
         region_zones: Callable[[], list[ZoneName]],
+        offsets: ShareOffsets | None = None,
     ) -> None:
         self._table = table
         self._region = region
@@ -110,7 +113,11 @@
         self._limit_shares = LimitShares(
             table=table, machine=machine, regions=regions, fleet=fleet
         )
+        self._offsets = offsets or ShareOffsets(
+            source=region, regions=(), now=0.0
+        )
         self._generation = -1
+        self._offsets_generation = -1
         self._rankings: dict[tuple, list[ServerRow]] = {}
         self._shares: dict[tuple, Shares] = {}
         self._zone_shares: dict[ServiceName, ZoneShares] = {}
@@ -152,13 +159,22 @@
             self._rankings.clear()
             self._shares.clear()
             self._zone_shares.clear()
+        if self._offsets_generation != self._offsets.generation:
+            self._offsets_generation = self._offsets.generation
+            self._shares.clear()
 
     def _preferred_regions(self, placement: Placement) -> list[RegionName]:
         """Return the permitted regions in order of preference."""
         shares = self._shares_of(
             placement.service, placement.permitted_regions
         )
-        first = choose_place("region", placement.key, shares, self._region)
+        first = choose_place(
+            "region",
+            placement.key,
+            shares,
+            self._region,
+            self._offsets.before,
+        )
         others = {
             row.region
             for row in self._table.by_service.get(placement.service, ())
@@ -190,7 +206,17 @@
             and (not permitted_regions or row.region in permitted_regions)
         ]
         capacity = ServiceCapacity.of(servers, self._regions)
-        return capacity.region_shares(self._region)
+        shares = capacity.region_shares(self._region)
+        if permitted_regions:
+            # The offsets hold for all regions together.
+            return shares
+        return shifted_shares(
+            shares,
+            self._offsets.of(service),
+            capacity.by_region,
+            self._region,
+            self._offsets.before,
+        )
 
     def _ranked_rows(
         self, placement: Placement, region: RegionName
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -1,6 +1,7 @@
 """Request path of an edge instance: routing, retries and hedging."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Collection
@@ -81,6 +82,7 @@
         suspects: SuspectTable,
         on_end: Callable[[Fingerprint, EndedServer, str], None],
         quotas: AccountQuotas,
+        arrivals: collections.Counter[ServiceName],
     ) -> None:
         self.routes: RouteTable | None = None
         self.callers = Callers(
@@ -88,6 +90,9 @@
         )
         self._refusals = Refusals(metrics=metrics)
         self._quotas = quotas
+        self._arrivals = (
+            collections.Counter() if arrivals is None else arrivals
+        )
         self._header_codec = header_codec
         self._selector = selector
         self._sender = sender
@@ -171,6 +176,7 @@
         service = self._splits.choose(
             f"{route.host}{route.prefix}", route.parts
         )
+        self._arrivals[service] += 1
         budget = self._budget(service)
         budget.record_request(self._loop.time())
         deadline_s = metadata.deadline_s or DEADLINE_DEFAULT_S
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -24,7 +24,9 @@
 from chiverun.platform import store as store_module
 from chiverun.platform.records import decode_record
 from chiverun.platform.settings import decode_settings
+from chiverun.runtime.demandexchange import DemandExchange
 from chiverun.runtime.follower import CatalogFollower
+from chiverun.runtime.servertable import ServerTable
 from tests import malformed
 from tests.adapter.examples import desired_state
 from tests.adapter.examples import server_entry
@@ -32,11 +34,14 @@
 from tests.adapter.oddrecords import ODD_MACHINES
 from tests.adapter.oddrecords import ODD_SERVERS
 from tests.records import make_server
+from tests.runtime.fleet import add_server
 from tests.runtime.test_follower import FakePeers
 from tests.runtime.test_follower import FakeStore
 from tests.runtime.test_follower import make_machine
 
 _EXAMPLES = settings(derandomize=True, max_examples=300, deadline=None)
+_REGIONS = {"z": "r", "z2": "r2"}
+_REMOTE = msgspec.structs.replace(make_machine("m7"), zone="z2", region="r2")
 _ITEM = VersionedRecord(key="servers/a", revision=3, record=make_server("a"))
 _MESSAGES = (
     edgemessages.LimitReports(
@@ -62,6 +67,15 @@
         lapse_left_s=0.0,
         live=["m1"],
     ),
+    edgemessages.DemandReport(
+        sender="m1", boot_id="l1", at_s=3.0, arrivals={"mill": 3}
+    ),
+    edgemessages.RegionDemand(
+        sender="m7", boot_id="l1", number=1, region="r2", per_s={"mill": 1.0}
+    ),
+    edgemessages.ShareGoals(
+        sender="m1", boot_id="l1", number=1, offsets={"mill": {"r2": 0.1}}
+    ),
     edgemessages.Pull(reply_to="10.0.0.1:1", as_of=2),
     edgemessages.Snapshot(as_of=6, items=[_ITEM]),
 )
@@ -128,6 +142,20 @@
             pass
 
 
+def _demand_exchange(follower: CatalogFollower) -> DemandExchange:
+    """Return the exchange of a service with servers in two regions."""
+    servers = ServerTable(machine="m5")
+    for zone, region in _REGIONS.items():
+        add_server(servers, make_server(zone, zone=zone), region, "m5")
+    return DemandExchange(
+        servers=servers,
+        table=follower.table,
+        peers=FakePeers(),
+        boot_id="l1",
+        regions=_REGIONS,
+    )
+
+
 async def _decode_rows(body, name) -> None:
     async for row in store_module.valid_rows(body, name):
         store_module.decode_item(row, Era(1))
@@ -160,7 +188,11 @@
             on_change=lambda: None,
             on_limits=lambda message: None,
             on_suspect=lambda message: None,
+            on_demand=lambda message: self.demand.receive(message),
         )
+        machines = [make_machine("m1"), _REMOTE]
+        self.follower.table.record_machines(machines)
+        self.demand = _demand_exchange(self.follower)
         handler = logbook.NullHandler()
         handler.push_application()
         self.addCleanup(handler.pop_application)
@@ -195,6 +227,7 @@
             self._receive(malformed.to_msgpack(variant))
             self.follower.heartbeats.send(True)
             self.follower.table.live(0.0)
+            self.demand.tick()
 
         check()
 
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -1,7 +1,9 @@
 """Tests of decoding the platform's store items and settings."""
 
 import json
+import tempfile
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
@@ -9,12 +11,16 @@
 from chiverun.core.catalog import RouteTable
 from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
+from chiverun.core.edgesettings import EdgeSettings
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import ResultCode
 from chiverun.core.replica import Evacuation
 from chiverun.core.replica import Unreadable
 from chiverun.platform.records import decode_record
 from chiverun.platform.settings import decode_settings
+from chiverun.platform.settings import PATH_VARIABLE
+from chiverun.platform.settings import read_platform_settings
+from chiverun.platform.settings import SHARE_LOADS_VARIABLE
 from tests.adapter.examples import desired_state
 from tests.adapter.examples import server_entry
 from tests.adapter.examples import settings_body
@@ -245,6 +251,28 @@
         body["bounds"] = [*body["bounds"], "newBound=3s"]
         decode_settings(json.dumps(body))
 
+    @params((None, True), ("true", True), ("false", False))
+    def test_sharing_of_loads(self, text, expected) -> None:
+        """Guards against a switch that does not switch."""
+        self.assertIs(expected, self._read(text).share_loads)
+
+    def test_invalid_switch_is_refused(self) -> None:
+        """Guards against a misspelt value that is taken for one of both."""
+        with self.assertRaises(ChiverunError) as caught:
+            self._read("off")
+        self.assertIs(caught.exception.code, ResultCode.SETTING_INVALID)
+        self.assertIn("'off'", str(caught.exception))
+
+    def _read(self, share_loads: str | None) -> EdgeSettings:
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(settings_body(), file)
+            file.flush()
+            env = {PATH_VARIABLE: file.name}
+            if share_loads is not None:
+                env[SHARE_LOADS_VARIABLE] = share_loads
+            with mock.patch.dict("os.environ", env):
+                return read_platform_settings()
+
     @params(
         "",
         "{",
--- a/tests/runtime/fleet.py
+++ b/tests/runtime/fleet.py
@@ -8,6 +8,7 @@
 from chiverun.core.catalog import ClientLimits
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
+from chiverun.core.catalog import Server
 from chiverun.core.catalog import ServerState
 from chiverun.core.peertable import HEARTBEAT_PERIOD_S
 from chiverun.core.replica import Record
@@ -19,6 +20,8 @@
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
 from chiverun.integrations.catalogstore import HistoryCompacted
+from chiverun.runtime.demandexchange import DemandExchange
+from chiverun.runtime.demandexchange import TICK_S
 from chiverun.runtime.follower import CatalogFollower
 from chiverun.runtime.follower import READ_PAUSE_S
 from chiverun.runtime.limitexchange import LimitExchange
@@ -120,7 +123,7 @@
     """Machines by name; `cut` holds pairs of zones without a link.
 
     All zones are in one region, unless `regions` maps them to others. Each
-    machine has one server, `SERVER`, in its table.
+    machine has one server, `SERVER`, in its table, and the `servers`.
     """
 
     def __init__(
@@ -129,14 +132,17 @@
         zones: tuple[str, ...],
         machines: int,
         regions: dict[str, str] | None = None,
+        servers: tuple[Server, ...] = (),
     ) -> None:
+        self.servers = servers
+        self.demands: dict[str, DemandExchange] = {}
         self.clock = _Clock()
         self.store = SharedStore()
         self.store.write("op/config", desired_state(1))
         self.followers: dict[str, CatalogFollower] = {}
         self.exchanges: dict[str, LimitExchange] = {}
         self.tables: dict[str, ServerTable] = {}
-        self._regions = regions or dict.fromkeys(zones, "r")
+        self.regions = regions or dict.fromkeys(zones, "r")
         self.clients: dict[str, _StoreClient] = {}
         self.machines: dict[str, Machine] = {}
         self.down: set[str] = set()
@@ -144,6 +150,7 @@
         # Messages between two zones, by sender.
         self.sent_between: collections.Counter[str] = collections.Counter()
         self.sent: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
         self._in_flight: list[tuple[float, str, bytes]] = []
         self._due: dict[str, list[float]] = {}
         self._by_address: dict[str, str] = {}
@@ -159,7 +166,7 @@
             peer=f"peer-{name}",
             entry=f"entry-{name}",
             zone=zone,
-            region=self._regions[zone],
+            region=self.regions[zone],
         )
         self.machines[name] = machine
         self._by_address[machine.peer] = name
@@ -180,8 +187,18 @@
                 on_change=lambda: None,
                 on_limits=lambda message: exchange.receive(message),
                 on_suspect=lambda message: None,
+                on_demand=lambda message: demand.receive(message),
             )
             table = _server_table(name)
+            for server in self.servers:
+                add_server(table, server, self.regions[server.zone], name)
+            demand = DemandExchange(
+                servers=table,
+                table=follower.table,
+                peers=peers,
+                boot_id=f"life-{name}-{self.clock.now}",
+                regions=self.regions,
+            )
             exchange = LimitExchange(
                 servers=table, table=follower.table, peers=peers
             )
@@ -189,14 +206,16 @@
         self.followers[name] = follower
         self.tables[name] = table
         self.exchanges[name] = exchange
+        self.demands[name] = demand
         start_at = self.clock.now + 0.3 * self._rng.random()
-        self._due[name] = [start_at, start_at]
+        self._due[name] = [start_at, start_at, start_at]
 
     def post(self, sender: str, address: str, payload: bytes) -> None:
         """Send a message, which is lost where the link is cut."""
         receiver = self._by_address[address]
         zones = {self.machines[sender].zone, self.machines[receiver].zone}
         self.sent[sender] += 1
+        self.sent_bytes[sender] += len(payload)
         if len(zones) > 1:
             self.sent_between[sender] += 1
         if frozenset(zones) not in self.cut and receiver not in self.down:
@@ -229,6 +248,9 @@
             follower.replica.expire(self.clock.now)
             follower.replica.release_held(self.clock.now)
             self.exchanges[name].send()
+        if self.clock.now >= due[2]:
+            due[2] = self.clock.now + TICK_S
+            self.demands[name].tick()
         if self.clock.now >= due[1] and follower._must_read():
             due[1] = self.clock.now + READ_PAUSE_S
             try:
@@ -302,6 +324,15 @@
     return table
 
 
+def add_server(
+    table: ServerTable, server: Server, region: str, machine: str
+) -> None:
+    """Add a server to the table of a machine."""
+    row = make_row(server, region=region, machine=machine)
+    table.rows[server.name] = row
+    table.by_service.setdefault(server.service, []).append(row)
+
+
 def desired_state(version: int) -> DesiredState:
     """Return an empty desired state."""
     return DesiredState(
--- a/tests/runtime/test_selection.py
+++ b/tests/runtime/test_selection.py
@@ -73,21 +73,23 @@
     )
 
 
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/p/",
+    repeatable=True,
+    parts=(Part(service="mill", weight=1.0),),
+    timeout_s=1.0,
+    objective_s=0.3,
+    attempts=2,
+    priority=0,
+    sticky=True,
+    homes=(),
+)
+
+
 def _placement(key: str):
-    route = Route(
-        name="r",
-        host="h",
-        prefix="/p/",
-        repeatable=True,
-        parts=(Part(service="mill", weight=1.0),),
-        timeout_s=1.0,
-        objective_s=0.3,
-        attempts=2,
-        priority=0,
-        sticky=True,
-        homes=(),
-    )
-    return make_placement(route, "mill", route.homes, key, "id", 0.1, 0.1)
+    return make_placement(ROUTE, "mill", ROUTE.homes, key, "id", 0.1, 0.1)
 
 
 class ZoneFirstTest(unittest.TestCase):
--- a/tests/runtime/test_steering.py
+++ b/tests/runtime/test_steering.py
@@ -1,6 +1,7 @@
 """Tests of request handling in a stopping edge instance."""
 
 import asyncio
+import collections
 import unittest
 
 import msgspec
@@ -124,6 +125,7 @@
             suspects=SuspectTable(),
             on_end=lambda fingerprint, server, request_id: None,
             quotas=Unlimited(),
+            arrivals=collections.Counter(),
         )
         steering.routes = RouteTable(
             version=1,
