Order the servers of a key by the loads of the whole region

An instance knew of the others' requests only by the reports that come with responses, and sent to servers whose queue was full.

Instances report their requests in flight by server to the first hub of their region, which sends the totals to all. The totals, with how fast each server runs, only order the open ones of a key's two servers: the second goes first if the wait there is shorter by half a run and at most a run. What is refused and where keys spill to still rests on the servers' own reports, since a better estimate there refused more and spread keys.

Learning at which queue servers reject and avoiding these gained less and was left out.

--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -167,6 +167,37 @@
     ]
 
 
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag="i"):
+    """Requests that an instance has in flight, by server.
+
+    A complete message states all counts that are not 0, another one those
+    that have changed. `at_s` is the sender's own clock.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    at_s: Amount
+    counts: Annotated[
+        dict[ServerName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    is_complete: bool
+
+
+class RegionLoads(msgspec.Struct, frozen=True, kw_only=True, tag="t"):
+    """The sums of a region's `LoadReport`s, from its hub; as these."""
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    at_s: Amount
+    counts: Annotated[
+        dict[ServerName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    is_complete: bool
+
+
+LoadMessage = LoadReport | RegionLoads
 DemandMessage = DemandReport | RegionDemand | ShareGoals
 EdgeMessage = (
     Heartbeat
@@ -176,6 +207,7 @@
     | LimitReports
     | SuspectReport
     | DemandMessage
+    | LoadMessage
 )
 
 # Compression gains nothing for smaller messages.
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -40,6 +40,7 @@
 from chiverun.runtime.follower import CatalogFollower
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.limitexchange import LimitExchange
+from chiverun.runtime.loadexchange import LoadExchange
 from chiverun.runtime.loopwatch import LoopWatch
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import Sender
@@ -103,6 +104,7 @@
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
             on_demand=lambda message: self._demand.receive(message),
+            on_loads=lambda message: self._loads.receive(message),
             usage=turns.usage,
         )
         self.metrics = EdgeMetrics()
@@ -120,6 +122,12 @@
             boot_id=self._boot_id,
             regions=cfg.regions,
         )
+        self._loads = LoadExchange(
+            servers=self._servers,
+            table=self.follower.table,
+            peers=self._peers,
+            boot_id=self._boot_id,
+        )
         suspects = SuspectTable()
         self._suspects = SuspectExchange(
             suspects=suspects, table=self.follower.table, peers=self._peers
@@ -230,6 +238,7 @@
         self._start_task("limits", self._limits.send_forever)
         if self.cfg.share_loads:
             self._start_task("demand", self._demand.exchange_forever)
+            self._start_task("loads", self._loads.exchange_forever)
         self._start_task("loop", self._loop_watch.watch_forever)
         _LOG.info(
             "started",
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -21,8 +21,11 @@
 from chiverun.core.edgemessages import DemandReport
 from chiverun.core.edgemessages import Heartbeat
 from chiverun.core.edgemessages import LimitReports
+from chiverun.core.edgemessages import LoadMessage
+from chiverun.core.edgemessages import LoadReport
 from chiverun.core.edgemessages import Pull
 from chiverun.core.edgemessages import RegionDemand
+from chiverun.core.edgemessages import RegionLoads
 from chiverun.core.edgemessages import ShareGoals
 from chiverun.core.edgemessages import Snapshot
 from chiverun.core.edgemessages import SuspectReport
@@ -79,6 +82,7 @@
         on_limits: Callable[[LimitReports], None],
         on_suspect: Callable[[SuspectReport], None],
         on_demand: Callable[[DemandMessage], None] = lambda message: None,
+        on_loads: Callable[[LoadMessage], None] = lambda message: None,
         usage: LoopUsage | None = None,
     ) -> None:
         self.replica = Replica()
@@ -95,6 +99,7 @@
         self._on_limits = on_limits
         self._on_suspect = on_suspect
         self._on_demand = on_demand
+        self._on_loads = on_loads
         self._rng = random.Random(boot_id)
         self._loop = asyncio.get_running_loop()
         self._inbox = Inbox(receive=self._receive, usage=usage)
@@ -357,6 +362,8 @@
                 self._on_suspect(message)
             case DemandReport() | RegionDemand() | ShareGoals():
                 self._on_demand(message)
+            case LoadReport() | RegionLoads():
+                self._on_loads(message)
             case Snapshot():
                 if message.as_of > self.replica.as_of:
                     self._apply_listing(message.items, message.as_of, "peer")
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -46,6 +46,12 @@
 # A server whose load is below this fraction of its slots serves keys of
 # servers that are not open, so that these requests are not rejected.
 IDLE_LOAD_FRACTION = 0.3
+# A key's second server takes its place if the wait there is shorter by this
+# many usual runs: its data may be cold there.
+SWITCH_RUNS = 0.5
+# While both have longer queues, keys keep their first server: evenly filled
+# queues make all answers late under overload.
+SWITCH_WAIT_RUNS = 1.0
 _RANKINGS_MAX = 4096
 
 Shares = dict[RegionName, float]
@@ -297,6 +303,7 @@
             for row in responsive
             if row.load.total(now) < IDLE_LOAD_FRACTION * row.server.slots
         ]
+        open_rows = _shortest_wait_first(open_rows, now)
         if not open_rows and not idle:
             waits = [_wait_s(row, placement, now) for row in preferred]
             return Overloaded(wait_s=min(waits))
@@ -369,6 +376,32 @@
     return sorted(rows, key=lambda row: row.load.total(now) / row.server.slots)
 
 
+def _shortest_wait_first(
+    open_rows: list[ServerRow], now: float
+) -> list[ServerRow]:
+    """Order the key's open servers by the totals of the region.
+
+    The order of affinity holds unless the wait at a later server is clearly
+    shorter. A server that rejects requests because its queue is full is
+    avoided by this as well, which saves the budget of retries.
+    """
+    if not open_rows or not open_rows[0].load.has_totals(now):
+        return open_rows
+    first = open_rows[0]
+    shortest = min(open_rows, key=lambda row: _wait_runs(row, now))
+    gain = _wait_runs(first, now) - _wait_runs(shortest, now)
+    if gain <= SWITCH_RUNS or _wait_runs(shortest, now) > SWITCH_WAIT_RUNS:
+        return open_rows
+    return [shortest, *(row for row in open_rows if row is not shortest)]
+
+
+def _wait_runs(row: ServerRow, now: float) -> float:
+    """Return the expected wait in usual runs, by the totals of the region."""
+    slots = row.server.slots
+    rounds = max(0.0, row.load.total_by_region(now) - slots + 1) / slots
+    return rounds * row.load.run_ratio
+
+
 def queue_factor(row: ServerRow, now: float) -> float:
     """Return the expected queueing slowdown of a request sent now."""
     slots = row.server.slots
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -419,6 +419,9 @@
     age_s = now - row.load.reported_at
     return {
         "load_at_choice": round(row.load.total(now), 1),
+        "load_by_region": round(row.load.total_by_region(now), 1)
+        if row.load.has_totals(now)
+        else None,
         "load_age_ms": round(1000 * age_s) if age_s < math.inf else None,
     }
 
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -452,10 +452,14 @@
 
     def _record_latency(self, request: Request, send: Send) -> None:
         now = self._loop.time()
+        run_s = (now - send.started_at) / send.queue_factor
+        usual_s = self._latencies.run_s(request.route)
+        if usual_s > 0:
+            send.row.load.record_run(run_s / usual_s)
         self._latencies.record(
             request.route,
             response_s=now - request.incoming.arrived_at,
-            run_s=(now - send.started_at) / send.queue_factor,
+            run_s=run_s,
         )
 
     def _details(self, request: Request) -> dict:
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -26,6 +26,7 @@
 from chiverun.platform.settings import decode_settings
 from chiverun.runtime.demandexchange import DemandExchange
 from chiverun.runtime.follower import CatalogFollower
+from chiverun.runtime.loadexchange import LoadExchange
 from chiverun.runtime.servertable import ServerTable
 from tests import malformed
 from tests.adapter.examples import desired_state
@@ -76,6 +77,22 @@
     edgemessages.ShareGoals(
         sender="m1", boot_id="l1", number=1, offsets={"mill": {"r2": 0.1}}
     ),
+    edgemessages.LoadReport(
+        sender="m1",
+        boot_id="l1",
+        number=1,
+        at_s=3.0,
+        counts={"z": 2},
+        is_complete=True,
+    ),
+    edgemessages.RegionLoads(
+        sender="m1",
+        boot_id="l1",
+        number=1,
+        at_s=3.0,
+        counts={"z": 2},
+        is_complete=False,
+    ),
     edgemessages.Pull(reply_to="10.0.0.1:1", as_of=2),
     edgemessages.Snapshot(as_of=6, items=[_ITEM]),
 )
@@ -142,18 +159,12 @@
             pass
 
 
-def _demand_exchange(follower: CatalogFollower) -> DemandExchange:
-    """Return the exchange of a service with servers in two regions."""
+def _servers() -> ServerTable:
+    """Return the table of a service with servers in two regions."""
     servers = ServerTable(machine="m5")
     for zone, region in _REGIONS.items():
         add_server(servers, make_server(zone, zone=zone), region, "m5")
-    return DemandExchange(
-        servers=servers,
-        table=follower.table,
-        peers=FakePeers(),
-        boot_id="l1",
-        regions=_REGIONS,
-    )
+    return servers
 
 
 async def _decode_rows(body, name) -> None:
@@ -189,10 +200,24 @@
             on_limits=lambda message: None,
             on_suspect=lambda message: None,
             on_demand=lambda message: self.demand.receive(message),
+            on_loads=lambda message: self.loads.receive(message),
         )
         machines = [make_machine("m1"), _REMOTE]
         self.follower.table.record_machines(machines)
-        self.demand = _demand_exchange(self.follower)
+        servers = _servers()
+        self.demand = DemandExchange(
+            servers=servers,
+            table=self.follower.table,
+            peers=FakePeers(),
+            boot_id="l1",
+            regions=_REGIONS,
+        )
+        self.loads = LoadExchange(
+            servers=servers,
+            table=self.follower.table,
+            peers=FakePeers(),
+            boot_id="l1",
+        )
         handler = logbook.NullHandler()
         handler.push_application()
         self.addCleanup(handler.pop_application)
@@ -228,6 +253,7 @@
             self.follower.heartbeats.send(True)
             self.follower.table.live(0.0)
             self.demand.tick()
+            self.loads.tick()
 
         check()
 
--- a/tests/runtime/fleet.py
+++ b/tests/runtime/fleet.py
@@ -25,6 +25,7 @@
 from chiverun.runtime.follower import CatalogFollower
 from chiverun.runtime.follower import READ_PAUSE_S
 from chiverun.runtime.limitexchange import LimitExchange
+from chiverun.runtime.loadexchange import LoadExchange
 from chiverun.runtime.servertable import ServerTable
 from tests.records import make_row
 from tests.records import make_server
@@ -122,8 +123,9 @@
 class Fleet:
     """Machines by name; `cut` holds pairs of zones without a link.
 
-    All zones are in one region, unless `regions` maps them to others. Each
-    machine has one server, `SERVER`, in its table, and the `servers`.
+    A part of the messages can be lost. All zones are in one region, unless
+    `regions` maps them to others. Each machine has one server, `SERVER`, in
+    its table, and the `servers`. Loads are exchanged if `shares_loads` is set.
     """
 
     def __init__(
@@ -135,7 +137,10 @@
         servers: tuple[Server, ...] = (),
     ) -> None:
         self.servers = servers
+        self.shares_loads = False
+        self.lost_part = 0.0
         self.demands: dict[str, DemandExchange] = {}
+        self.loads: dict[str, LoadExchange] = {}
         self.clock = _Clock()
         self.store = SharedStore()
         self.store.write("op/config", desired_state(1))
@@ -188,6 +193,7 @@
                 on_limits=lambda message: exchange.receive(message),
                 on_suspect=lambda message: None,
                 on_demand=lambda message: demand.receive(message),
+                on_loads=lambda message: loads.receive(message),
             )
             table = _server_table(name)
             for server in self.servers:
@@ -199,6 +205,12 @@
                 boot_id=f"life-{name}-{self.clock.now}",
                 regions=self.regions,
             )
+            loads = LoadExchange(
+                servers=table,
+                table=follower.table,
+                peers=peers,
+                boot_id=f"life-{name}-{self.clock.now}",
+            )
             exchange = LimitExchange(
                 servers=table, table=follower.table, peers=peers
             )
@@ -207,8 +219,9 @@
         self.tables[name] = table
         self.exchanges[name] = exchange
         self.demands[name] = demand
+        self.loads[name] = loads
         start_at = self.clock.now + 0.3 * self._rng.random()
-        self._due[name] = [start_at, start_at, start_at]
+        self._due[name] = [start_at] * 4
 
     def post(self, sender: str, address: str, payload: bytes) -> None:
         """Send a message, which is lost where the link is cut."""
@@ -218,6 +231,8 @@
         self.sent_bytes[sender] += len(payload)
         if len(zones) > 1:
             self.sent_between[sender] += 1
+        if self.lost_part and self._rng.random() < self.lost_part:
+            return
         if frozenset(zones) not in self.cut and receiver not in self.down:
             arrives_at = self.clock.now + _LATENCY_S
             self._in_flight.append((arrives_at, receiver, payload))
@@ -251,6 +266,9 @@
         if self.clock.now >= due[2]:
             due[2] = self.clock.now + TICK_S
             self.demands[name].tick()
+        if self.shares_loads and self.clock.now >= due[3]:
+            due[3] = self.clock.now + self.loads[name].period_s()
+            self.loads[name].tick()
         if self.clock.now >= due[1] and follower._must_read():
             due[1] = self.clock.now + READ_PAUSE_S
             try:
--- a/tests/runtime/test_selection.py
+++ b/tests/runtime/test_selection.py
@@ -19,7 +19,7 @@
 _NOW = 100.0
 
 
-def _table(**slots_by_zone: int) -> ServerTable:
+def make_table(**slots_by_zone: int) -> ServerTable:
     """Return a table with three servers per zone."""
     table = ServerTable(machine="m")
     for zone, slots in slots_by_zone.items():
@@ -53,7 +53,7 @@
     return list(machines.values())
 
 
-def _selector(
+def make_selector(
     table: ServerTable,
     zone: str,
     other_zones: tuple[str, ...],
@@ -88,34 +88,34 @@
 )
 
 
-def _placement(key: str):
+def make_request(key: str):
     return make_placement(ROUTE, "mill", ROUTE.homes, key, "id", 0.1, 0.1)
 
 
 class ZoneFirstTest(unittest.TestCase):
     def test_requests_stay_in_the_zone(self) -> None:
         """Guards against unnecessary traffic between zones."""
-        table = _table(a1=4, a2=4, b1=8)
-        selector = _selector(table, "a1", ("a2",))
+        table = make_table(a1=4, a2=4, b1=8)
+        selector = make_selector(table, "a1", ("a2",))
         for i in range(100):
-            row = selector.choose(_placement(f"k{i}"), None, set(), _NOW)
+            row = selector.choose(make_request(f"k{i}"), None, set(), _NOW)
             self.assertEqual("a1", row.server.zone)
 
     def test_two_zones_share_the_two_servers_of_a_key(self) -> None:
         """Guards against keys that are cold on twice as many servers."""
-        table = _table(a1=4, a2=4, b1=8)
-        first_selector = _selector(table, "a1", ("a2",))
-        second_selector = _selector(table, "a2", ("a1",))
+        table = make_table(a1=4, a2=4, b1=8)
+        first_selector = make_selector(table, "a1", ("a2",))
+        second_selector = make_selector(table, "a2", ("a1",))
         for i in range(100):
             first = first_selector.choose(
-                _placement(f"k{i}"), None, set(), _NOW
+                make_request(f"k{i}"), None, set(), _NOW
             )
             other = second_selector.choose(
-                _placement(f"k{i}"), None, set(), _NOW
+                make_request(f"k{i}"), None, set(), _NOW
             )
             first.load.in_flight = 5 * first.server.slots
             spilled = first_selector.choose(
-                _placement(f"k{i}"), None, set(), _NOW
+                make_request(f"k{i}"), None, set(), _NOW
             )
             first.load.in_flight = 0
             self.assertEqual("a2", other.server.zone)
@@ -125,11 +125,11 @@
         self,
     ) -> None:
         """Guards against zone shares that ignore the servers' capacity."""
-        table = _table(a1=4, a2=4, b1=8)
-        a1_selector = _selector(table, "a1", ("a1", "a2"))
+        table = make_table(a1=4, a2=4, b1=8)
+        a1_selector = make_selector(table, "a1", ("a1", "a2"))
         own = sum(
             a1_selector.choose(
-                _placement(f"k{i}"), None, set(), _NOW
+                make_request(f"k{i}"), None, set(), _NOW
             ).server.zone
             == "a1"
             for i in range(1000)
@@ -139,10 +139,12 @@
 
     def test_zone_without_servers_uses_the_other(self) -> None:
         """Guards against refusals after all servers of a zone are gone."""
-        table = _table(a2=4, b1=4)
-        selector = _selector(table, "a1", ("a2",))
+        table = make_table(a2=4, b1=4)
+        selector = make_selector(table, "a1", ("a2",))
         zones = {
-            selector.choose(_placement(f"k{i}"), None, set(), _NOW).server.zone
+            selector.choose(
+                make_request(f"k{i}"), None, set(), _NOW
+            ).server.zone
             for i in range(50)
         }
         self.assertIn("a2", zones)
@@ -150,8 +152,8 @@
 
 class OverloadTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.table = _table(a1=4, a2=4, b1=4)
-        self.selector = _selector(self.table, "a1", ("a2",))
+        self.table = make_table(a1=4, a2=4, b1=4)
+        self.selector = make_selector(self.table, "a1", ("a2",))
 
     def _load(self, in_flight: int, *, region: str = "a") -> None:
         for row in self.table.rows.values():
@@ -159,7 +161,7 @@
                 row.load.in_flight = in_flight
 
     def _choose(self, spec: ServiceSpec | None = None):
-        return self.selector.choose(_placement("k"), spec, set(), _NOW)
+        return self.selector.choose(make_request("k"), spec, set(), _NOW)
 
     def test_request_that_would_be_late_is_refused(self) -> None:
         """Guards against queueing behind servers that respond too late.
@@ -208,7 +210,7 @@
         self.assertNotIn(third, chosen)
 
     def _server_of(self, key: str) -> ServerRow | None:
-        choice = self.selector.choose(_placement(key), None, set(), _NOW)
+        choice = self.selector.choose(make_request(key), None, set(), _NOW)
         return choice if isinstance(choice, ServerRow) else None
 
     def test_idle_server_is_used_before_a_refusal(self) -> None:
@@ -237,7 +239,7 @@
             if row.region == "a":
                 row.cold_until = _NOW + 1
         bounds = EdgeBounds(cold_extra=0.0)
-        self.selector = _selector(self.table, "a1", ("a2",), bounds)
+        self.selector = make_selector(self.table, "a1", ("a2",), bounds)
         choice = self._choose(spec)
         self.assertEqual("b1", choice.server.zone)
 
@@ -251,15 +253,15 @@
 
     def _choices(self, zone: str, machines: dict[str, set[str]]) -> set[str]:
         """Return the servers chosen while those of a1 are cold."""
-        table = _table(a1=4, a2=4)
+        table = make_table(a1=4, a2=4)
         for row in table.rows.values():
             if row.server.zone == "a1":
                 row.cold_until = _NOW + 1000.0
-        selector = _selector(table, zone, ("a1", "a2"), machines=machines)
+        selector = make_selector(table, zone, ("a1", "a2"), machines=machines)
         spec = ServiceSpec(name="mill", cold_per_s=2.0)
         return {
             selector.choose(
-                _placement(f"k{i}"), spec, set(), _NOW + 2 * i
+                make_request(f"k{i}"), spec, set(), _NOW + 2 * i
             ).server.zone
             for i in range(40)
         }
