--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -10,7 +10,9 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
+from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServerName
+from chiverun.core.ids import ServiceName
 from chiverun.core.replica import VersionedRecord
 from chiverun.core.revisions import Revision
 from chiverun.core.suspects import EndedServer
@@ -188,6 +190,92 @@
     ] = []
 
 
+# A message names no more services, servers or regions.
+REPORT_ROWS_MAX = 4096
+Amount = Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Offset = Annotated[float, msgspec.Meta(ge=-1, le=1)]
+
+
+class DemandReport(msgspec.Struct, frozen=True, kw_only=True, tag="d"):
+    """How many requests an instance has received since it started.
+
+    `at_s` is the instance's own clock. `wants_goals` asks for a `ShareGoals`
+    at once.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    at_s: Amount
+    arrivals: Annotated[
+        dict[ServiceName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    wants_goals: bool = False
+
+
+class RegionDemand(msgspec.Struct, frozen=True, kw_only=True, tag="r"):
+    """The smoothed request rate of a region, from its hub to other regions.
+
+    `is_relayed` marks one that an instance has passed on to its hub.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    region: RegionName
+    per_s: Annotated[
+        dict[ServiceName, Amount], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    is_relayed: bool = False
+
+
+class ShareGoals(msgspec.Struct, frozen=True, kw_only=True, tag="o"):
+    """Offsets of a region's shares by service, from its hub.
+
+    `number` grows with each message of a process.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    offsets: Annotated[
+        dict[ServiceName, dict[RegionName, _Offset]],
+        msgspec.Meta(max_length=REPORT_ROWS_MAX),
+    ]
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, tag="i"):
+    """Requests that an instance has in flight, by server.
+
+    A complete message states all counts that are not 0, another one those
+    that have changed. `at_s` is the sender's own clock.
+    """
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    at_s: Amount
+    counts: Annotated[
+        dict[ServerName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    is_complete: bool
+
+
+class RegionLoads(msgspec.Struct, frozen=True, kw_only=True, tag="t"):
+    """The sums of a region's `LoadReport`s, from its hub; as these."""
+
+    sender: InstanceId
+    boot_id: BootId = msgspec.field(name="life")
+    number: Count
+    at_s: Amount
+    counts: Annotated[
+        dict[ServerName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+    ]
+    is_complete: bool
+
+
+LoadMessage = LoadReport | RegionLoads
+DemandMessage = DemandReport | RegionDemand | ShareGoals
 EdgeMessage = (
     Heartbeat
     | Update
@@ -197,6 +285,8 @@
     | SuspectReport
     | QuotaReport
     | QuotaGrant
+    | DemandMessage
+    | LoadMessage
 )
 
 # Compression gains nothing for smaller messages.
--- a/chiverun/core/edgesettings.py
+++ b/chiverun/core/edgesettings.py
@@ -56,3 +56,5 @@
     memory_bytes: int | None = None
     # Files and sockets that the process may have open, None if unknown.
     descriptors: int | None = None
+    # Whether instances exchange the demand for services.
+    share_loads: bool = True
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -37,11 +37,13 @@
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.runtime.coldchecks import ColdChecks
+from chiverun.runtime.demandexchange import DemandExchange
 from chiverun.runtime.directory import Directory
 from chiverun.runtime.edgemetrics import EdgeMetrics
 from chiverun.runtime.follower import CatalogFollower
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.limitexchange import LimitExchange
+from chiverun.runtime.loadexchange import LoadExchange
 from chiverun.runtime.loopwatch import LoopWatch
 from chiverun.runtime.quotaexchange import QuotaExchange
 from chiverun.runtime.selection import Selector
@@ -119,6 +121,8 @@
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
             on_quota=lambda message: self._quotas.receive(message),
+            on_demand=lambda message: self._demand.receive(message),
+            on_loads=lambda message: self._loads.receive(message),
             usage=turns.usage,
             inbox_bytes=int(_INBOX_FRACTION * memory.limit),
         )
@@ -133,6 +137,19 @@
             table=self.follower.table,
             peers=self._peers,
         )
+        self._demand = DemandExchange(
+            servers=self._servers,
+            table=self.follower.table,
+            peers=self._peers,
+            boot_id=self._boot_id,
+            regions=cfg.regions,
+        )
+        self._loads = LoadExchange(
+            servers=self._servers,
+            table=self.follower.table,
+            peers=self._peers,
+            boot_id=self._boot_id,
+        )
         suspects = SuspectTable()
         self._suspects = SuspectExchange(
             suspects=suspects, table=self.follower.table, peers=self._peers
@@ -153,6 +170,7 @@
             machine=cfg.name,
             fleet=self.follower.table.fleet,
             region_zones=self._region_zones,
+            offsets=self._demand.applied,
         )
         self._sender = Sender(
             header_codec=header_codec, memory=memory, turns=turns
@@ -169,6 +187,7 @@
             suspects=suspects,
             on_end=self._suspects.record_end,
             quotas=self._quotas,
+            arrivals=self._demand.arrivals,
         )
         self._cold_checks = ColdChecks(
             table=self._servers,
@@ -250,6 +269,9 @@
         self._start_task("cold", self._cold_checks.check_forever)
         self._start_task("limits", self._limits.send_forever)
         self._start_task("quotas", self._quotas.run_forever)
+        if self.cfg.share_loads:
+            self._start_task("demand", self._demand.exchange_forever)
+            self._start_task("loads", self._loads.exchange_forever)
         self._start_task("loop", self._loop_watch.watch_forever)
         _LOG.info(
             "started",
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -21,6 +21,8 @@
 from chiverun.core.placement import choose_place
 from chiverun.core.placement import rendezvous
 from chiverun.core.placement import zone_first
+from chiverun.core.regiondemand import ShareOffsets
+from chiverun.core.regiondemand import shifted_shares
 from chiverun.runtime.limitshares import LimitShares
 from chiverun.runtime.servertable import CONNECTIONS_FRACTION
 from chiverun.runtime.servertable import ServerRow
@@ -44,6 +46,12 @@
 # A server whose load is below this fraction of its slots serves keys of
 # servers that are not open, so that these requests are not rejected.
 IDLE_LOAD_FRACTION = 0.3
+# A key's second server takes its place if the wait there is shorter by this
+# many usual runs: its data may be cold there.
+SWITCH_RUNS = 0.5
+# While both have longer queues, keys keep their first server: evenly filled
+# queues make all answers late under overload.
+SWITCH_WAIT_RUNS = 1.0
 _RANKINGS_MAX = 4096
 
 Shares = dict[RegionName, float]
@@ -99,6 +107,7 @@
         machine: InstanceId,
         fleet: Callable[[], Collection[Machine]],
         region_zones: Callable[[], list[ZoneName]],
+        offsets: ShareOffsets | None = None,
     ) -> None:
         self._table = table
         self._region = region
@@ -110,7 +119,11 @@
         self._limit_shares = LimitShares(
             table=table, machine=machine, regions=regions, fleet=fleet
         )
+        self._offsets = offsets or ShareOffsets(
+            source=region, regions=(), now=0.0
+        )
         self._generation = -1
+        self._offsets_generation = -1
         self._rankings: dict[tuple, list[ServerRow]] = {}
         self._shares: dict[tuple, Shares] = {}
         self._zone_shares: dict[ServiceName, ZoneShares] = {}
@@ -152,13 +165,22 @@
             self._rankings.clear()
             self._shares.clear()
             self._zone_shares.clear()
+        if self._offsets_generation != self._offsets.generation:
+            self._offsets_generation = self._offsets.generation
+            self._shares.clear()
 
     def _preferred_regions(self, placement: Placement) -> list[RegionName]:
         """Return the permitted regions in order of preference."""
         shares = self._shares_of(
             placement.service, placement.permitted_regions
         )
-        first = choose_place("region", placement.key, shares, self._region)
+        first = choose_place(
+            "region",
+            placement.key,
+            shares,
+            self._region,
+            self._offsets.before,
+        )
         others = {
             row.region
             for row in self._table.by_service.get(placement.service, ())
@@ -190,7 +212,17 @@
             and (not permitted_regions or row.region in permitted_regions)
         ]
         capacity = ServiceCapacity.of(servers, self._regions)
-        return capacity.region_shares(self._region)
+        shares = capacity.region_shares(self._region)
+        if permitted_regions:
+            # The offsets hold for all regions together.
+            return shares
+        return shifted_shares(
+            shares,
+            self._offsets.of(service),
+            capacity.by_region,
+            self._region,
+            self._offsets.before,
+        )
 
     def _ranked_rows(
         self, placement: Placement, region: RegionName
@@ -274,6 +306,7 @@
             for row in responsive
             if row.load.total(now) < IDLE_LOAD_FRACTION * row.server.slots
         ]
+        open_rows = _shortest_wait_first(open_rows, now)
         if not open_rows and not idle:
             waits = [_wait_s(row, placement, now) for row in preferred]
             return Overloaded(wait_s=min(waits))
@@ -346,6 +379,32 @@
     return sorted(rows, key=lambda row: row.load.total(now) / row.server.slots)
 
 
+def _shortest_wait_first(
+    open_rows: list[ServerRow], now: float
+) -> list[ServerRow]:
+    """Order the key's open servers by the totals of the region.
+
+    The order of affinity holds unless the wait at a later server is clearly
+    shorter. A server that rejects requests because its queue is full is
+    avoided by this as well, which saves the budget of retries.
+    """
+    if not open_rows or not open_rows[0].load.has_totals(now):
+        return open_rows
+    first = open_rows[0]
+    shortest = min(open_rows, key=lambda row: _wait_runs(row, now))
+    gain = _wait_runs(first, now) - _wait_runs(shortest, now)
+    if gain <= SWITCH_RUNS or _wait_runs(shortest, now) > SWITCH_WAIT_RUNS:
+        return open_rows
+    return [shortest, *(row for row in open_rows if row is not shortest)]
+
+
+def _wait_runs(row: ServerRow, now: float) -> float:
+    """Return the expected wait in usual runs, by the totals of the region."""
+    slots = row.server.slots
+    rounds = max(0.0, row.load.total_by_region(now) - slots + 1) / slots
+    return rounds * row.load.run_ratio
+
+
 def queue_factor(row: ServerRow, now: float) -> float:
     """Return the expected queueing slowdown of a request sent now."""
     slots = row.server.slots
