Mend what the review of quotas and demand found; say some things plainer

Causes and changes, each with a test that failed before: * A coordinator failed for good after 2,000 changes of shares, since forgetting them called itself. The changes are applied by a step of their own. * Requests that wait for a token stayed for ever after an unexpected error in the exchange. Their waiting ends all the same. * A service that is new in the reports of arrivals counted with all requests since its process started. It has no rate before its second report. Without a test: an instance that does not share loads ignores what others tell.

Comments and docstrings that stopped a newcomer are reworded; the unused field shift_max goes.

--- a/chiverun/core/bytebudget.py
+++ b/chiverun/core/bytebudget.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable
 
-# Memory of a process without requests: program, tables, libraries.
+# Base memory of a process without requests: program, tables, libraries.
 REST_BYTES = 48 * 1024 * 1024
 # Part of the other memory for the bytes of peers. The allocator keeps some
 # freed memory, and what is being decoded or encoded is not counted.
@@ -28,7 +28,6 @@
 # stopped does not outrank what holds much more.
 _PROGRESS_FLOOR = 1024.0
 # A holding without this progress in bytes a second for this time has stalled.
-# A sound caller's link that is shared by 70 connections is faster.
 STALLED_BYTES_PER_S = 8192.0
 STALLED_S = 1.5
 # Shortest time between two searches for stalled holdings.
--- a/chiverun/core/callerlimits.py
+++ b/chiverun/core/callerlimits.py
@@ -1,4 +1,4 @@
-"""Limits of what clients may take of a process, and why they are refused."""
+"""Limits of the connections of edge listeners, and why they are refused."""
 
 import dataclasses
 import enum
@@ -14,7 +14,7 @@
 ACCEPT_BATCH = 16
 # Buffers, parser, protocol and timer of a connection.
 CONNECTION_BYTES = 16 * 1024
-# Part of the memory beyond that of a process at rest for connections alone.
+# Part of the memory beyond `REST_BYTES` for connections alone.
 _CONNECTION_MEMORY_FRACTION = 0.2
 # Parts of the descriptors. Each request that runs has a connection to a
 # server as well.
@@ -45,7 +45,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallerLimits:
-    """Limits of one listener.
+    """Connection limits of one edge listener (asyncio).
 
     While all connections are in use, those of an address that has more than
     `address_fraction` of them are closed first. More than `ahead_bytes` of
--- a/chiverun/core/catalog.py
+++ b/chiverun/core/catalog.py
@@ -87,8 +87,9 @@
 class ClientAccount(msgspec.Struct, frozen=True, kw_only=True):
     """A client account, whose requests carry one of its keys.
 
-    `priority` goes before that of the route if it is set. `per_s` is the rate
-    limit over all instances together, None without one. `homes` are the
+    `priority` is decoded but not used yet. `per_s` is the rate limit in
+    requests a second over all instances together, None without one; `burst`
+    is the number of requests that may come at once beyond it. `homes` are the
     regions that may serve the account; empty means all. Requests of an account
     with a `fault` are rejected until a readable one is in force.
     """
--- a/chiverun/core/edgesettings.py
+++ b/chiverun/core/edgesettings.py
@@ -25,13 +25,12 @@
     retry_window_s: float = 10.0
     cold_excess: float = 1.5
     cold_extra: float = 5.0
-    # Time for which keys are trusted without news, None without a limit.
+    # Age of the catalog in seconds up to which API keys are trusted, None
+    # without a limit.
     key_trust_s: float | None = None
     quota_window_s: float = 5.0
     quota_excess: float = 0.1
     quota_extra: float = 20.0
-    # Part of a region's requests that may change region within 2 s.
-    shift_max: float = 0.15
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -56,5 +55,6 @@
     memory_bytes: int | None = None
     # Files and sockets that the process may have open, None if unknown.
     descriptors: int | None = None
-    # Whether instances exchange the demand for services.
+    # Whether instances exchange the demand of regions and the requests in
+    # flight at servers.
     share_loads: bool = True
--- a/chiverun/core/listenerlimits.py
+++ b/chiverun/core/listenerlimits.py
@@ -1,4 +1,4 @@
-"""Limits for callers of a listener that are slow, many or large.
+"""Connection and memory limits of the cheroot listeners of an instance.
 
 Time is in seconds of a monotonic clock.
 """
@@ -34,7 +34,7 @@
     Listener.ENTRY: 0.5,
     Listener.FORWARD: 0.25,
 }
-# Requests to the look-up listener have no bodies.
+# Requests to the look-up listener need no bodies.
 _MEMORY_PARTS = {
     Listener.LOOKUP: 0.05,
     Listener.ENTRY: 0.6,
@@ -54,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ListenerLimits:
-    """Limits of one listener.
+    """Limits of one cheroot listener.
 
     Parameters
     ----------
--- a/chiverun/core/quota.py
+++ b/chiverun/core/quota.py
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Admitted:
-    """The request may run; it counts until it is given back."""
+    """The request may run; its token is used unless it is given back."""
 
 
 class QuotaReason(enum.Enum):
@@ -21,7 +21,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Exceeded:
-    """The account is over its limit; `wait_s` is when it may be below."""
+    """The account is over its limit.
+
+    `wait_s` is the time in seconds until a token is expected.
+    """
 
     wait_s: float
     reason: QuotaReason = QuotaReason.EXHAUSTED
--- a/chiverun/core/quotaadmission.py
+++ b/chiverun/core/quotaadmission.py
@@ -81,7 +81,11 @@
         self._waiters.setdefault(account, collections.deque()).append(waiter)
         self._count(account)
         has_none = self._tokens.none_for_s(account, now) > 0
-        self._post([] if has_none else self.client.ask(now), now)
+        try:
+            self._post([] if has_none else self.client.ask(now), now)
+        except Exception:
+            self.cancel(waiter)
+            raise
         return waiter
 
     def cancel(self, waiter: Waiter) -> None:
@@ -101,7 +105,11 @@
 
     def tick(self, now: float) -> None:
         """Send what is due, and end the waiting of requests."""
-        self._post(self.client.tick(now), now)
+        try:
+            self._post(self.client.tick(now), now)
+        finally:
+            # No request may wait longer because of an unexpected error.
+            self._serve_waiters(now)
 
     def next_at(self) -> float:
         """Return when the next tick is due."""
--- a/chiverun/core/quotabucket.py
+++ b/chiverun/core/quotabucket.py
@@ -6,17 +6,19 @@
 from chiverun.core.edgemessages import QuotaDemand
 from chiverun.core.ids import InstanceId
 
-# Part of the capacity above which much is left, if it is more than the burst,
-# and below which lease holders return what they will not need soon.
+# Lease holders get tokens in advance only above this part of the capacity, or
+# the burst if it is larger, and return those below the second part.
 AMPLE_PART = 0.5
 SCARCE_PART = 0.25
+# Bounds of the wait that lease holders are told. The maximum is also told
+# while no share is delegated.
 WAIT_MIN_S = 0.02
 WAIT_MAX_S = 10.0
 
 
 @dataclasses.dataclass(kw_only=True)
 class Lease:
-    """Tokens of an account that a lease holder has, and lacks."""
+    """Tokens leased to a holder, and its demand beyond them."""
 
     tokens: int = 0
     unmet: float = 0.0
@@ -40,7 +42,9 @@
 class Bucket:
     """Tokens of one account; `fraction` is the delegated part of its limit.
 
-    `per_s`, `burst`, `capacity` and `start` are of the whole limit.
+    `per_s`, `burst`, `capacity` and `start`, the tokens of a new bucket, are
+    of the whole limit. `outstanding` tokens are leased, `unmet` ones wanted
+    beyond the leases.
     """
 
     per_s: float
--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -20,14 +20,15 @@
 from chiverun.core.quotatokens import token_life_s
 from chiverun.core.quotatokens import TokenCache
 
-# Time for which a share is delegated, at least, and in periods.
+# A delegation ("deposit") of the share expires after the larger of these
+# seconds and report periods.
 DEPOSIT_LIFE_S = 0.8
 DEPOSIT_LIFE_PERIODS = 2.5
-# A report is repeated after this time without an answer. It is longer than
-# two round trips between regions.
+# Time-out of a report, which is then repeated; longer than two round trips
+# between regions.
 ANSWER_S = 0.28
-# Another coordinator is used after this time without an answer, which is that
-# of two reports.
+# A coordinator has failed this long after the first report without an
+# answer. Covers two reports.
 SILENT_S = 0.55
 # Candidates are asked in groups, each twice as large as the one before.
 SEARCH_PERIOD_S = 0.2
--- a/chiverun/core/quotacoordinator.py
+++ b/chiverun/core/quotacoordinator.py
@@ -40,14 +40,16 @@
 BUCKET_IDLE_S = 30.0
 # Time to return for accounts whose limit this coordinator does not know.
 UNKNOWN_WAIT_S = 0.5
-_CHANGES_MAX = 2000
+# Changes of shares that are kept for buckets that have not been used since.
+CHANGES_MAX = 2000
 
 
 @dataclasses.dataclass(kw_only=True)
 class Deposit:
-    """The share that an instance delegates; times are monotonic seconds.
+    """Delegation of an instance's share; times are monotonic seconds.
 
-    Tokens of it have accrued since `start`.
+    `end` is when it expires unless it is renewed. Tokens of the share have
+    accrued since `start`.
     """
 
     start: float
@@ -272,7 +274,7 @@
         self, account: AccountName, bucket: Bucket, is_short: bool
     ) -> None:
         if not bucket.fraction:
-            # Instances that find another coordinator soon.
+            # The limit is not exhausted: no share of it is delegated here.
             return
         if bucket.is_exhausted:
             is_exhausted = bucket.level < SCARCE_PART * bucket.limit
@@ -347,6 +349,10 @@
 
     def _advance_all(self, now: float) -> None:
         self._expire(now)
+        self._apply_changes(now)
+
+    def _apply_changes(self, now: float) -> None:
+        """Bring all buckets up to date and forget the changes."""
         for bucket in self.buckets.values():
             self._advance(bucket, now)
             bucket.changes_seen = 0
@@ -356,8 +362,8 @@
         """End what has not been renewed."""
         if now >= self._next_end:
             self._expire_deposits(now)
-        if len(self._changes) > _CHANGES_MAX:
-            self._advance_all(now)
+        if len(self._changes) > CHANGES_MAX:
+            self._apply_changes(now)
         life_s = token_life_s(len(self._shares.names))
         if now - self._swept_at > life_s:
             self._swept_at = now
--- a/chiverun/core/quotashares.py
+++ b/chiverun/core/quotashares.py
@@ -13,10 +13,10 @@
 from chiverun.core.ids import InstanceId
 from chiverun.core.placement import hash_fraction
 
-# Part of what the platform allows above the limit that buckets may hold.
+# Part of the allowed excess that is added to the burst as capacity.
 RESERVE_PART = 0.7
-# Part of it that a coordinator which replaces another starts with. Both parts
-# together stay below 1: shares that two instances compute from different
+# Part of the excess that a new coordinator's buckets may start with. Both
+# parts together stay below 1: shares that two instances compute from different
 # records of the fleet add up to more than the limit for a moment.
 START_PART = 0.25
 # An instance with less capacity could never hold a whole token.
--- a/chiverun/core/quotatokens.py
+++ b/chiverun/core/quotatokens.py
@@ -45,8 +45,10 @@
 class HeldTokens:
     """Tokens of one account and its demand; times are monotonic seconds.
 
-    `requests` have come since the last report, `waiting` requests have found
-    no token.
+    `rate` is the smoothed demand in requests a second as of `counted_at`,
+    `requests` have come since the last report. `returned` tokens go back with
+    the next report. `waiting` requests have found no token, and none is
+    expected before `none_before`.
     """
 
     tokens: int = 0
--- a/chiverun/core/regiondemand.py
+++ b/chiverun/core/regiondemand.py
@@ -22,9 +22,8 @@
 from chiverun.core.ids import ServiceName
 from chiverun.core.placement import places_before
 
-# Part of a region's keys that may change region, per second, because of
-# demand. The platform permits 0.15 from one window of 2 s to the next; the
-# rest is for the noise of the requests in a window.
+# Part of a region's keys that may change region per second because of demand.
+# Below the platform's bound, since few requests in a window vary by chance.
 SHIFT_PER_S = 0.025
 # A smaller distance from the goal is left: the noise of rates would move keys
 # all the time, and each movement makes keys cold.
@@ -165,10 +164,12 @@
             interval_s = report.at_s - row.report.at_s
             if interval_s < INTERVAL_MIN_S:
                 return False
+            before = row.report.arrivals
+            # The count of a service that is new here is of all time.
             rates = {
-                service: max(0, count - row.report.arrivals.get(service, 0))
-                / interval_s
+                service: max(0, count - before[service]) / interval_s
                 for service, count in report.arrivals.items()
+                if service in before
             }
         self._rows[sender] = _Reporter(
             report=report, rates=rates, heard_at=now
--- a/chiverun/integrations/callerconnection.py
+++ b/chiverun/integrations/callerconnection.py
@@ -1,4 +1,4 @@
-"""A caller's connection among all of its listener."""
+"""A client connection of an edge instance's listener (asyncio and h11)."""
 
 import asyncio
 import math
--- a/chiverun/integrations/callerrefusals.py
+++ b/chiverun/integrations/callerrefusals.py
@@ -10,7 +10,7 @@
 
 _LOG = logbook.Logger("server")
 
-# Lines of one reason in a second; a crowd would fill the log.
+# Lines of one reason in a second; a flood of refusals would fill the log.
 LINES_PER_S = 5
 
 
--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -179,8 +179,8 @@
         self._schedule()
 
     def _run_one(self, until: float) -> None:
-        # The one that has used least for its message, so that a sound peer
-        # does not wait behind endless ones.
+        # The one that has used least for its message, so that a well-behaved
+        # peer does not wait behind endless ones.
         turn = min(self._waiting, key=lambda row: row.debt.message_s)
         del self._waiting[turn]
         try:
--- a/chiverun/integrations/threadpace.py
+++ b/chiverun/integrations/threadpace.py
@@ -55,7 +55,7 @@
         self._marked_at = time.thread_time()
 
     def before_read(self, wait_max_s: float) -> None:
-        """TimeDebt for the bytes of the last read; wait if they were costly.
+        """Account for the bytes of the last read; wait if they were costly.
 
         Raises
         ------
--- a/chiverun/platform/headercodec.py
+++ b/chiverun/platform/headercodec.py
@@ -21,6 +21,7 @@
 _NOT_RUN = "x-chiverun-not-run"
 _LOAD = "x-chiverun-server-load"
 _API_KEY = "api-key"
+# The platform calls a client account a tenant.
 _ACCOUNT = "x-chiverun-tenant"
 _SERVER_NAME = "x-chiverun-instance-id"
 _COLD_MS = "x-chiverun-cold-ms"
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -35,7 +35,6 @@
     "quotaWindow": "quota_window_s",
     "quotaExcess": "quota_excess",
     "quotaSlack": "quota_extra",
-    "maxShift": "shift_max",
 }
 # Time for which keys are trusted without news, if the other bound says so.
 _KEY_TRUST = "revoke"
--- a/chiverun/platform/statecodec.py
+++ b/chiverun/platform/statecodec.py
@@ -259,7 +259,7 @@
 def _without_shared_keys(
     accounts: list[ClientAccount], faults: _Faults
 ) -> tuple[ClientAccount, ...]:
-    """Move keys that several accounts have to an unreadable account."""
+    """Move keys that several accounts have to nameless, unreadable ones."""
     owners: dict[KeyDigest, set[AccountName]] = {}
     for account in accounts:
         for digest in account.key_digests:
--- a/chiverun/runtime/callers.py
+++ b/chiverun/runtime/callers.py
@@ -14,7 +14,7 @@
 from chiverun.runtime.headercodec import CallerIdentity
 from chiverun.runtime.headercodec import RequestMetadata
 
-# An older catalog may lack a key that has just been added.
+# Above this age of the catalog, an unknown key may have just been added.
 UNKNOWN_KEY_AGE_MAX_S = 2.0
 
 
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -19,6 +19,8 @@
 from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
 from chiverun.core.catalog import RouteTable
+from chiverun.core.edgemessages import DemandMessage
+from chiverun.core.edgemessages import LoadMessage
 from chiverun.core.edgesettings import EdgeSettings
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import ResultCode
@@ -121,8 +123,8 @@
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
             on_quota=lambda message: self._quotas.receive(message),
-            on_demand=lambda message: self._demand.receive(message),
-            on_loads=lambda message: self._loads.receive(message),
+            on_demand=self._receive_demand,
+            on_loads=self._receive_loads,
             usage=turns.usage,
             inbox_bytes=int(_INBOX_FRACTION * memory.limit),
         )
@@ -212,6 +214,16 @@
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _receive_demand(self, message: DemandMessage) -> None:
+        """Apply what others tell of demand, unless this one does not share."""
+        if self.cfg.share_loads:
+            self._demand.receive(message)
+
+    def _receive_loads(self, message: LoadMessage) -> None:
+        """Apply what others tell of loads, unless this one does not share."""
+        if self.cfg.share_loads:
+            self._loads.receive(message)
+
     def _on_unexpected(
         self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
--- a/chiverun/runtime/steeredrequest.py
+++ b/chiverun/runtime/steeredrequest.py
@@ -39,7 +39,7 @@
     pending: dict[asyncio.Task[SendResult], "Send"] = dataclasses.field(
         default_factory=dict
     )
-    # Why no server may get it, and the shortest time until one may.
+    # Why the last choice of a server failed.
     refusal: Refusal | None = None
 
     @functools.cached_property
--- a/tests/core/test_quotaclient.py
+++ b/tests/core/test_quotaclient.py
@@ -1,6 +1,7 @@
 """Tests of the choice of a coordinator, of tokens and of waiting requests."""
 
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
@@ -166,6 +167,16 @@
         self.fleet.run(5.0 + wait_s + 0.02)
         self.assertEqual([Exceeded], [type(o) for o in self.outcomes])
 
+    def test_waiting_ends_after_an_unexpected_error(self):
+        """Guards against requests that wait for ever after a fault."""
+        waiter = self._wait(2.0)
+        admission = self.instance.admission
+        with mock.patch.object(
+            admission.client, "tick", side_effect=RuntimeError
+        ):
+            self.assertRaises(RuntimeError, admission.tick, waiter.until)
+        self.assertEqual([Exceeded], [type(o) for o in self.outcomes])
+
     def test_requests_of_an_account_share_a_report(self):
         """Guards against a message for each request."""
         sent = self.fleet.messages
--- a/tests/core/test_quotacoordinator.py
+++ b/tests/core/test_quotacoordinator.py
@@ -9,6 +9,7 @@
 from chiverun.core.edgemessages import QuotaGrant
 from chiverun.core.edgemessages import QuotaReport
 from chiverun.core.edgesettings import EdgeBounds
+from chiverun.core.quotacoordinator import CHANGES_MAX
 from chiverun.core.quotacoordinator import QuotaCoordinator
 from chiverun.core.quotashares import capacity_of
 from chiverun.core.quotatokens import token_life_s
@@ -74,6 +75,15 @@
     def _tokens(self, at: float, **changes) -> int:
         return self._report(at, **changes).tokens[0].tokens
 
+    def test_many_changes_of_shares_are_forgotten(self) -> None:
+        """Guards against a coordinator that fails after some days."""
+        self._tokens(0.0, waiting=1)
+        for i in range(CHANGES_MAX + 10):
+            # Each share ends before the next report.
+            self._report(2.0 * (i + 1), share_s=1.0)
+        self.assertLessEqual(len(self.coordinator._changes), CHANGES_MAX)
+        self._set_fleet("h1", "h2")
+
     def test_tokens_accrue_while_a_share_is_delegated(self):
         """Guards against a coordinator that starts with a full bucket."""
         self.assertEqual(0, self._tokens(0.0, waiting=100))
--- a/tests/core/test_regiondemand.py
+++ b/tests/core/test_regiondemand.py
@@ -259,6 +259,17 @@
         )
         return self.rates.record(name, report, at_s if now is None else now)
 
+    def test_service_that_is_new_in_reports_has_no_rate_yet(self):
+        """Guards against the requests of a whole life in one second."""
+        for at_s in range(1, 6):
+            arrivals = {"s": 10 * at_s}
+            if at_s > 3:
+                arrivals["other"] = 8_640_000 + 100 * at_s
+            report = ArrivalReport(boot_id="x", at_s=at_s, arrivals=arrivals)
+            self.rates.record("m", report, at_s)
+            self.rates.update(at_s, 3.0)
+        self.assertLess(self.rates.expected().get("other", 0.0), 1000.0)
+
     def test_lost_reports_lose_no_requests(self):
         """Guards against a lower demand when messages are lost."""
         self._record(0.0, 0)
