Wait after a restart until an earlier process's share is free in large fleets

Cause: a process that starts waited 0.8 s for the end of what an earlier process of its instance had delegated; in fleets of more than 128 instances a delegation lasts longer, so a share could be used twice for up to 1.7 s.

Change: it waits for the life of a delegation in its fleet.

--- a/chiverun/core/quotaclient.py
+++ b/chiverun/core/quotaclient.py
@@ -138,7 +138,8 @@
         self._search(now)
         # An earlier process of this instance may have delegated the share.
         self._deposit_to: InstanceId | None = None
-        self._deposit_end = now + DEPOSIT_LIFE_S
+        self._deposit_end = now
+        self._created_at = now
         self._start_period_s = START_PERIODS * window_s
         self._started_at = now
 
@@ -397,7 +398,7 @@
         self._report_at = now + period_s
         self._reported_at = now
         echo = self._echoes.get(self.current)
-        unused_s = max(0.0, now - max(self._deposit_end, self._fleet_at))
+        unused_s = max(0.0, now - max(self._share_free_at(), self._fleet_at))
         share_s, starts_filled = self._delegate(echo, now)
         report = QuotaReport(
             sender=self.me.name,
@@ -420,8 +421,9 @@
 
     def _delegate(self, echo: _Echo | None, now: float) -> tuple[float, bool]:
         """Return for how long the share is delegated from now on."""
-        if self._deposit_to != self.current and now < self._deposit_end:
-            self._report_at = min(self._report_at, self._deposit_end)
+        free_at = self._share_free_at()
+        if self._deposit_to != self.current and now < free_at:
+            self._report_at = min(self._report_at, free_at)
             return 0.0, False
         settled_at = self._searched_at + SEARCH_SETTLED_S
         if self._is_searching and now < settled_at:
@@ -438,13 +440,25 @@
         if is_new and now - self._started_at > self._start_period_s:
             starts_filled = True
             self._started_at = now
-        life_s = max(
-            DEPOSIT_LIFE_S, DEPOSIT_LIFE_PERIODS * report_period_s(self._size)
-        )
+        life_s = self._deposit_life_s()
         self._deposit_to = self.current
         self._deposit_end = now + life_s
         return life_s, starts_filled
 
+    def _deposit_life_s(self) -> float:
+        """Return for how long a share is delegated in this fleet."""
+        period_s = report_period_s(self._size)
+        return max(DEPOSIT_LIFE_S, DEPOSIT_LIFE_PERIODS * period_s)
+
+    def _share_free_at(self) -> float:
+        """Return when nobody else can use the share any more.
+
+        An earlier process of this instance may have delegated it as well.
+        """
+        return max(
+            self._deposit_end, self._created_at + self._deposit_life_s()
+        )
+
 
 def _rank(machine: Machine) -> tuple[float, InstanceId]:
     """Return the sort key of instances: strong ones come first."""
--- a/tests/core/test_quotaclient.py
+++ b/tests/core/test_quotaclient.py
@@ -125,6 +125,18 @@
         failures = [c for c in last.changes if c.reason == "no answer"]
         self.assertLess(len(failures), 10)
 
+    @params((71, 0.7), (300, 1.8))
+    def test_new_process_waits_for_the_end_of_an_earlier_one(
+        self, machines, until_s
+    ):
+        """Guards against a share that is delegated twice after a restart."""
+        fleet = QuotaFleet(machines=machines, accounts=_ACCOUNTS)
+        fleet.run(until_s)
+        coordinators = [i.coordinator for i in fleet.instances.values()]
+        self.assertFalse(any(row.deposits for row in coordinators))
+        fleet.run(until_s + 2.0)
+        self.assertTrue(any(row.deposits for row in coordinators))
+
     def test_share_is_with_one_coordinator_at_a_time(self):
         """Guards against a share that two coordinators use while one is left.
 
