Take the growth of an exchange's period from one place

Cause: the exchanges of loads and of demand each had the same constant and rule for large regions; steering had a branch that could not occur.

Change: core.peertable.scaled_period_s; no behaviour changes.

--- a/chiverun/core/peertable.py
+++ b/chiverun/core/peertable.py
@@ -33,6 +33,8 @@
 CANDIDATES = 4
 # Machines of a silent zone that are probed with each heartbeat.
 PROBES = 8
+# Machines of a region up to which its exchanges run at their full rate.
+FULL_RATE_MACHINES = 50
 # For the choice of a region's hubs, machines on the last list of a hub that
 # has fallen silent are taken for live for this long, so that the zones choose
 # the same ones.
@@ -328,6 +330,15 @@
         }
 
 
+def scaled_period_s(period_s: float, machines: int) -> float:
+    """Return the interval of an exchange in a region, in seconds.
+
+    It grows in proportion to a large region, so that the messages of the
+    region's hub do not.
+    """
+    return period_s * max(1.0, machines / FULL_RATE_MACHINES)
+
+
 def _is_fresh(heard_at: float, now: float) -> bool:
     return now - heard_at < SILENT_AFTER_S
 
--- a/chiverun/runtime/demandexchange.py
+++ b/chiverun/runtime/demandexchange.py
@@ -27,6 +27,7 @@
 from chiverun.core.ids import ServiceName
 from chiverun.core.ids import ZoneName
 from chiverun.core.peertable import PeerTable
+from chiverun.core.peertable import scaled_period_s
 from chiverun.core.regiondemand import ArrivalReport
 from chiverun.core.regiondemand import IGNORED_SHIFT
 from chiverun.core.regiondemand import KEPT_S
@@ -43,10 +44,8 @@
 
 # Interval at which the own shares move, and at which reports may be due.
 TICK_S = 0.25
-# Interval of reports, sums and offsets in a region of `FULL_RATE_MACHINES` or
-# less; it grows in proportion to a larger region.
+# Interval of reports, sums and offsets; longer in a large region.
 PERIOD_S = 1.0
-FULL_RATE_MACHINES = 50
 # An instance that has missed this many reports is not counted.
 SILENT_PERIODS = 3
 # A region's sums go to the instance that sent its own sums so recently, else
@@ -158,7 +157,7 @@
 
     def _period_s(self) -> float:
         machines = 1 + len(self._table.region_machines())
-        return PERIOD_S * max(1.0, machines / FULL_RATE_MACHINES)
+        return scaled_period_s(PERIOD_S, machines)
 
     def _current_hub(self, now: float) -> Machine:
         hub = self._table.region_hubs(now)[0]
--- a/chiverun/runtime/loadexchange.py
+++ b/chiverun/runtime/loadexchange.py
@@ -24,15 +24,14 @@
 from chiverun.core.loadtotals import Sequence
 from chiverun.core.loadtotals import StatedCounts
 from chiverun.core.peertable import PeerTable
+from chiverun.core.peertable import scaled_period_s
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.runtime.servertable import ServerTable
 
 _LOG = logbook.Logger("loads")
 
-# Interval of reports and totals in a region of `FULL_RATE_MACHINES` or less;
-# it grows in proportion to a larger region.
+# Interval of reports and totals; longer in a large region.
 PERIOD_S = 0.2
-FULL_RATE_MACHINES = 50
 # Interval between complete messages.
 COMPLETE_S = 2.0
 # Without any change a message is sent after this time: a silent instance is
@@ -108,7 +107,7 @@
     def period_s(self) -> float:
         """Return the interval of reports, in seconds."""
         machines = 1 + len(self._table.region_machines())
-        return PERIOD_S * max(1.0, machines / FULL_RATE_MACHINES)
+        return scaled_period_s(PERIOD_S, machines)
 
     def tick(self) -> None:
         """Report the own requests; as the hub, send the totals."""
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -90,9 +90,7 @@
         )
         self._refusals = Refusals(metrics=metrics)
         self._quotas = quotas
-        self._arrivals = (
-            collections.Counter() if arrivals is None else arrivals
-        )
+        self._arrivals = arrivals
         self._header_codec = header_codec
         self._selector = selector
         self._sender = sender
