--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import resource
 import sys
 import tempfile
 import time
@@ -18,6 +19,8 @@
 BROKEN = 1
 CANNOT_RUN = 2
 TIME_LIMIT_S = 110.0
+# More than the platform gives a process (`maxFds`); children inherit it.
+DESCRIPTORS = 8192
 
 
 class CannotRun(Exception):
@@ -83,6 +86,10 @@
 
 def run(folder: pathlib.Path, play: Callable[[Case], Awaitable[bool]]) -> None:
     """Play a case, which returns whether the rule was broken, and exit."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < DESCRIPTORS and (hard < 0 or soft < hard):
+        most = DESCRIPTORS if hard < 0 else min(DESCRIPTORS, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
     with tempfile.TemporaryDirectory() as scratch:
         sys.exit(asyncio.run(_run(folder, pathlib.Path(scratch), play)))
 
