--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,32 +20,45 @@
 DEADLINE_MS = 3000
 SLACK_S = 0.5
 CLIENTS = 20
-REQUESTS = 40
+REQUESTS = 75
 PAUSE_S = 0.3
-# Half of the upstreams spoil one of twenty answers.
+# Half of the upstreams spoil one of twenty answers, for 5 s three times.
 UPSTREAMS = 4
 FAULTY = 2
 SPOILED_EACH = 20
+SPELL_S = 5.0
+SPELL_EACH_S = 8.0
+SPELLS = 3
 
 
 class NotingUpstream(Upstream):
     """An upstream that adds a header with a file name to its answers.
 
-    If `spoils` is set, one of `SPOILED_EACH` answers has a byte above 127 in
-    that header; all else is as it should be.
+    If `spoils` is set, one of `SPOILED_EACH` answers within a spell has a byte
+    above 127 in that header; all else is as it should be. The spells are
+    counted from the first answer.
     """
 
     def __init__(self, *, spoils: bool, **options) -> None:
         super().__init__(**options)
         self._spoils = spoils
         self._answers = 0
+        self._first_at: float | None = None
+
+    def _is_spell(self) -> bool:
+        now = time.monotonic()
+        if self._first_at is None:
+            self._first_at = now
+        spell, age_s = divmod(now - self._first_at, SPELL_EACH_S)
+        return self._spoils and spell < SPELLS and age_s < SPELL_S
 
     async def _handle(self, call) -> bytes:
         answer = await super()._handle(call)
         if not answer.startswith(b"HTTP/1.1 200") or call.target == "/health":
             return answer
-        self._answers += 1
-        is_spoiled = self._spoils and self._answers % SPOILED_EACH == 0
+        is_spell = self._is_spell()
+        self._answers += is_spell
+        is_spoiled = is_spell and self._answers % SPOILED_EACH == 0
         name = b"re\xe7u" if is_spoiled else b"recu"
         note = b'Content-Disposition: attachment; filename="' + name + b'"'
         return answer.replace(b"\r\n\r\n", b"\r\n" + note + b"\r\n\r\n", 1)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -17,7 +17,7 @@
 
 ZONE = "dar-kariakoo"
 ZONES = {ZONE: "dar"}
-MACHINES = 2
+MACHINES = 1
 UPSTREAMS = 3
 SPOILED_EACH = 20
 SPOIL_FOR_S = 5.0
