Send texts on as they were received, by one codec for both directions

Cause: a received head was read as Latin-1, but the head to the caller was left to the parser, which writes ASCII only. The error ended the connection's task. Texts to servers were written as Latin-1 and texts from records were not checked at all, so that an id that no header can carry failed each request to that server, and a declared path outside ASCII matched no request.

Change: core/headertext.py reads and writes the headers of both directions. A server's record whose id no header can carry is unreadable, and declared paths are percent-encoded.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -23,6 +23,9 @@
 from chiverun.core.exchange import Reset
 from chiverun.core.exchange import TimedOut
 from chiverun.core.exchange import TooLarge
+from chiverun.core.headertext import decode_headers
+from chiverun.core.headertext import EncodedHeaders
+from chiverun.core.headertext import Headers
 from chiverun.core.ids import Address
 from chiverun.core.loopusage import LoopPart
 from chiverun.core.loopusage import PeerName
@@ -49,8 +52,6 @@
 # response for the rest of that line.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 
-Headers = list[tuple[bytes, bytes]]
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class OutgoingRequest:
@@ -62,9 +63,9 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    headers: EncodedHeaders
     body: bytes | Body
-    matches_request: Callable[[list[tuple[str, str]]], bool]
+    matches_request: Callable[[Headers], bool]
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -329,10 +330,7 @@
 
     def _complete_response(self) -> bool:
         response = self._response
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in response.headers.raw_items()
-        ]
+        headers = decode_headers(response.headers.raw_items())
         if not self._request.matches_request(headers):
             return self._skip_response()
         if self._http.their_state is not h11.DONE:
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -16,6 +16,7 @@
 from chiverun.core.body import pieces_of
 from chiverun.core.callerlimits import ACCEPT_BATCH
 from chiverun.core.callerlimits import RefusalReason
+from chiverun.core.headertext import encode_headers
 from chiverun.core.ids import Address
 from chiverun.integrations.callerconnection import CallerConnection
 from chiverun.integrations.httpmessages import content_length
@@ -292,7 +293,9 @@
             headers.append(("Connection", "close"))
         self._activity.begin(self._loop.time())
         try:
-            head = h11.Response(status_code=response.status, headers=headers)
+            head = h11.Response(
+                status_code=response.status, headers=encode_headers(headers)
+            )
             parts = [self._http.send(head)]
             for piece in pieces_of(body):
                 parts += self._http.send_with_data_passthrough(
--- a/chiverun/integrations/httpmessages.py
+++ b/chiverun/integrations/httpmessages.py
@@ -7,8 +7,8 @@
 import h11
 
 from chiverun.core.body import Body
-
-Headers = list[tuple[str, str]]
+from chiverun.core.headertext import decode_headers
+from chiverun.core.headertext import Headers
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,10 +46,7 @@
     return IncomingRequest(
         method=head.method.decode("ascii"),
         target=head.target.decode("ascii"),
-        headers=[
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in head.headers.raw_items()
-        ],
+        headers=decode_headers(head.headers.raw_items()),
         body=body,
         arrived_at=arrived_at,
     )
--- a/chiverun/platform/headercodec.py
+++ b/chiverun/platform/headercodec.py
@@ -3,8 +3,8 @@
 import math
 
 from chiverun.core.catalog import Server
+from chiverun.core.headertext import Headers
 from chiverun.core.ids import ServerName
-from chiverun.integrations.asyncserver import Headers
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.runtime.headercodec import CallerIdentity
 from chiverun.runtime.headercodec import RequestMetadata
--- a/chiverun/platform/records.py
+++ b/chiverun/platform/records.py
@@ -83,6 +83,7 @@
     # Not used here, but an entry without them is not the server's own.
     values.field(body, "version", str)
     values.integer(body, "sequence")
+    values.check_field_value(name, "id")
     state = values.field(body, "state", str)
     if state not in ("ready", "draining"):
         raise values.InvalidValueError(
--- a/chiverun/platform/statecodec.py
+++ b/chiverun/platform/statecodec.py
@@ -19,6 +19,7 @@
 from chiverun.core.catalog import ServiceSpec
 from chiverun.core.catalog import StateFault
 from chiverun.core.catalog import StateVersion
+from chiverun.core.headertext import encode_target
 from chiverun.core.ids import AccountName
 from chiverun.core.ids import KeyDigest
 from chiverun.core.ids import RegionName
@@ -97,7 +98,7 @@
     prefix = _ANY
     try:
         match = values.field(rule, "match", dict)
-        prefix = values.field(match, "prefix", str)
+        prefix = encode_target(values.field(match, "prefix", str))
         return _decode_route(place, host, prefix, rule, faults)
     except values.InvalidValueError as exc:
         faults.add(place, str(exc))
--- a/chiverun/platform/values.py
+++ b/chiverun/platform/values.py
@@ -4,6 +4,7 @@
 import re
 from typing import Any
 
+from chiverun.core.headertext import is_field_value
 from chiverun.core.ids import Address
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
@@ -125,6 +126,21 @@
         )
 
 
+def check_field_value(text: str, name: str) -> None:
+    """Check that a text can be the value of a header, which names a server.
+
+    Raises
+    ------
+    InvalidValueError
+    """
+    if len(text) > HEADER_VALUE_LENGTH_MAX or not is_field_value(text):
+        raise InvalidValueError(
+            f"{name}: {text[:80]!r} is not valid; expected 1 to "
+            f"{HEADER_VALUE_LENGTH_MAX} Latin-1 characters, no control "
+            "characters, and no space at either end"
+        )
+
+
 def address(body: Any, name: str) -> Address:
     """Return a field with an IP address and a port.
 
--- a/chiverun/runtime/headercodec.py
+++ b/chiverun/runtime/headercodec.py
@@ -6,9 +6,9 @@
 
 if TYPE_CHECKING:
     from chiverun.core.catalog import Server
+    from chiverun.core.headertext import Headers
     from chiverun.core.ids import AccountName
     from chiverun.core.ids import ServerName
-    from chiverun.integrations.asyncserver import Headers
     from chiverun.integrations.asyncserver import IncomingRequest
 
 
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -17,12 +17,14 @@
 from chiverun.core.exchange import Reset
 from chiverun.core.exchange import Shed
 from chiverun.core.exchange import ShedReason
+from chiverun.core.headertext import encode_headers
+from chiverun.core.headertext import encode_target
+from chiverun.core.headertext import Headers
 from chiverun.core.health import eject
 from chiverun.core.health import record
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
 from chiverun.integrations.asyncclient import OutgoingRequest
-from chiverun.integrations.asyncserver import Headers
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.runtime.headercodec import HeaderCodec
@@ -186,8 +188,8 @@
             end = await connection.exchange(
                 OutgoingRequest(
                     method=b"GET",
-                    target=path.encode("ascii"),
-                    headers=_encode_headers(headers),
+                    target=encode_target(path).encode("ascii"),
+                    headers=encode_headers(headers),
                     body=b"",
                     matches_request=lambda rows: True,
                 ),
@@ -290,7 +292,7 @@
         return OutgoingRequest(
             method=request.method.encode("ascii"),
             target=request.target.encode("ascii"),
-            headers=_encode_headers(headers),
+            headers=encode_headers(headers),
             body=request.body,
             matches_request=lambda rows: self._matches_request(rows, metadata),
         )
@@ -403,13 +405,6 @@
         )
 
 
-def _encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
-    return [
-        (name.encode("latin-1"), value.encode("latin-1"))
-        for name, value in headers
-    ]
-
-
 def _choice_valid_s(row: ServerRow, now: float) -> float:
     return COLD_CHOICE_VALID_S if now < row.cold_until else CHOICE_VALID_S
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -24,7 +24,8 @@
     responses say that it leaves; `retry_after` rejects requests as not run and
     asks for a pause of these seconds. A request for `deadly_target` ends the
     server `DEADLY_RUN_S` after it has arrived. `body_bytes` is the size of
-    responses' bodies, 0 for the usual one.
+    responses' bodies, 0 for the usual one; `rows` are further lines of their
+    heads, and `stamp` is their stamp.
     """
 
     answer: bytes | None = None
@@ -43,6 +44,8 @@
     retry_after: str | None = None
     deadly_target: str | None = None
     body_bytes: int = 0
+    rows: bytes = b""
+    stamp: bytes = b"s"
 
 
 class Upstream:
@@ -159,11 +162,12 @@
             writer.write(self.faults.answer)
             await self._send_endless(writer)
             return False
-        extra = b"X-Chiverun-Response-Stamp: s\r\n"
+        extra = b"X-Chiverun-Response-Stamp: %b\r\n" % self.faults.stamp
         if self.faults.limit is not None:
             extra += f"Server-Limit: {self.faults.limit}\r\n".encode()
         if self.faults.leaving:
             extra += b"Server-Leaving: 1\r\n"
+        extra += self.faults.rows
         response = _response(
             self.faults.status,
             request_id,
