Answer or close whatever error a connection's task ends with

Cause: only errors of the handler and one kind of the parser's were handled; the others ended the task or the callback, and nothing closed the connection.

Change: a response whose head cannot be sent is replaced by 502, which says nothing of whether the request ran. A task that ends in any other way closes the connection after the responses before it, and so do errors while a request is read or ended by a time limit. Each is logged and counted in chiverun_unexpected_errors. An error while a server's response is processed ends that exchange at once, and a request that cannot be encoded counts as not sent.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import h11
+import logbook
 
 from chiverun.core.body import Body
 from chiverun.core.body import pieces_of
@@ -36,6 +37,8 @@
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.integrations.sockets import set_peer_timeout
 
+_LOG = logbook.Logger("client")
+
 # The connection fails if the peer acknowledges no data for this long.
 PEER_TIMEOUT_MS = 2000
 HEADER_BYTES_MAX = 64 * 1024
@@ -195,8 +198,14 @@
         """
         if self._transport is None or self._transport.is_closing():
             return NotSent(detail="connection is closed")
-        if self.exchanges:
-            self._http.start_next_cycle()
+        try:
+            if self.exchanges:
+                self._http.start_next_cycle()
+            pieces = self._encode_request(request)
+        except h11.LocalProtocolError:
+            # The parser's message quotes the request.
+            self.abort()
+            return NotSent(detail="not a valid HTTP/1.1 request")
         self.exchanges += 1
         self._request = request
         self._response = None
@@ -206,7 +215,7 @@
         self._skipped_responses = 0
         self._waiter = asyncio.get_running_loop().create_future()
         try:
-            for piece in self._encode_request(request):
+            for piece in pieces:
                 self._writer.write(piece)
             # wait_for would lose a cancellation that coincides with the
             # response.
@@ -280,6 +289,11 @@
             # API key.
             self._end_malformed("not a valid HTTP/1.1 response")
             return False
+        except Exception:
+            # Whoever waits for the response would wait until the deadline.
+            _LOG.exception("cannot process a response")
+            self._end_malformed("unexpected error")
+            return False
 
     def _end_malformed(self, reason: str) -> None:
         self.abort()
--- a/chiverun/integrations/asyncserver.py
+++ b/chiverun/integrations/asyncserver.py
@@ -10,7 +10,6 @@
 import socket
 
 import h11
-import logbook
 
 from chiverun.core.body import Body
 from chiverun.core.body import pieces_of
@@ -40,8 +39,6 @@
     "listen",
 ]
 
-_LOG = logbook.Logger("server")
-
 # Connections that wait in the kernel until they are accepted.
 BACKLOG = 1024
 # Bytes that wait, up to this number, are part of a connection's memory.
@@ -170,6 +167,9 @@
                     exc.error_status_hint or 400, RefusalReason.MALFORMED
                 )
             return False
+        except Exception as exc:
+            self._fail("cannot process a request", exc)
+            return False
 
     def _await_data(self) -> bool:
         """Ask for the body if the caller waits for that; return False."""
@@ -264,15 +264,23 @@
         self._held.pin()
         self._state.last_request_at = self._arrived_at
         self._task = self._loop.create_task(self._serve(request))
+        self._task.add_done_callback(self._on_served)
+
+    def _on_served(self, task: asyncio.Task[None]) -> None:
+        """Close if the request got no response, whatever the reason."""
+        exc = None if task.cancelled() else task.exception()
+        if exc is None and not task.cancelled():
+            return
+        if self._task is task:
+            self._task = None
+        if not self._transport.is_closing():
+            self._fail("request not answered", exc)
 
     async def _serve(self, request: IncomingRequest) -> None:
         try:
             response = await self._state.handler(request)
-        except asyncio.CancelledError:
-            self._task = None
-            raise
-        except Exception:
-            _LOG.exception("request handler failed")
+        except Exception as exc:
+            self._state.note_error("request handler failed", exc)
             response = OutgoingResponse(status=500, headers=[])
         self._task = None
         self._held.release()
@@ -284,35 +292,21 @@
     def _respond(
         self, request: IncomingRequest, response: OutgoingResponse
     ) -> None:
-        headers = list(response.headers)
-        body = response.body if request.method != "HEAD" else b""
-        has_length = any(n.lower() == "content-length" for n, _ in headers)
-        if not has_length and response.status not in _BODILESS_STATUSES:
-            headers.append(("Content-Length", str(len(response.body))))
-        if self._state.closing or self._is_last:
-            headers.append(("Connection", "close"))
         self._activity.begin(self._loop.time())
         try:
-            head = h11.Response(
-                status_code=response.status, headers=encode_headers(headers)
-            )
-            parts = [self._http.send(head)]
-            for piece in pieces_of(body):
-                parts += self._http.send_with_data_passthrough(
-                    h11.Data(data=piece)
-                )
-            parts.append(self._http.send(h11.EndOfMessage()))
+            head = self._response_head(response)
+        except (h11.LocalProtocolError, UnicodeError):
+            # The parser's message quotes the response. The request may have
+            # run, so 503 would not be true.
+            self._state.note_error("response has an invalid head", None)
+            response = OutgoingResponse(status=502, headers=[])
+            head = self._response_head(response)
+        body = response.body if request.method != "HEAD" else b""
+        try:
+            parts = self._encode_response(head, body)
         except h11.LocalProtocolError:
-            # The parser's message quotes the response.
-            _LOG.error(
-                "cannot send the response",
-                extra={"reason": "not a valid HTTP/1.1 response"},
-            )
-            self._transport.abort()
+            self._fail("response is not valid HTTP/1.1", None)
             return
-        if len(body) <= _JOINED_BODY_BYTES_MAX:
-            # One call of the system instead of two.
-            parts = [b"".join(parts)]
         for part in parts:
             self._writer.write(part)
         if isinstance(response.body, Body):
@@ -321,6 +315,31 @@
             self._held.resize(self._writer.size)
         self._start_next_cycle()
 
+    def _response_head(self, response: OutgoingResponse) -> h11.Response:
+        headers = encode_headers(response.headers)
+        has_length = any(n.lower() == b"content-length" for n, _ in headers)
+        if not has_length and response.status not in _BODILESS_STATUSES:
+            length = str(len(response.body)).encode()
+            headers.append((b"Content-Length", length))
+        if self._state.closing or self._is_last:
+            headers.append((b"Connection", b"close"))
+        return h11.Response(status_code=response.status, headers=headers)
+
+    def _encode_response(
+        self, head: h11.Response, body: bytes | Body
+    ) -> list[bytes | memoryview]:
+        """Return a response in pieces; a large body is not copied."""
+        parts = [self._http.send(head)]
+        for piece in pieces_of(body):
+            parts += self._http.send_with_data_passthrough(
+                h11.Data(data=piece)
+            )
+        parts.append(self._http.send(h11.EndOfMessage()))
+        if len(body) <= _JOINED_BODY_BYTES_MAX:
+            # One call of the system instead of two.
+            parts = [b"".join(parts)]
+        return parts
+
     def _start_next_cycle(self) -> None:
         self._request = None
         if self._transport.is_closing():
@@ -362,7 +381,10 @@
             self._transport.close()
             return
         text = self._describe(reason)
-        self._writer.write(encode_refusal(self._http, status, reason, text))
+        method = self._request.method if self._request is not None else b""
+        self._writer.write(
+            encode_refusal(self._http, status, reason, text, method=method)
+        )
         self._linger()
 
     def _write(self, event: h11.Event) -> None:
--- a/chiverun/integrations/callerconnection.py
+++ b/chiverun/integrations/callerconnection.py
@@ -50,7 +50,7 @@
         self._task: asyncio.Task[None] | None = None
         self._turn: Turn | None = None
         self._unread = Pieces()
-        self._timeout = Timeout(on_timeout=self._on_timeout)
+        self._timeout = Timeout(on_timeout=self._check_time)
         self._is_reading_head = False
         self._is_used = False
         # No further request is read.
@@ -172,6 +172,25 @@
         """Give up what is held, for lack of memory."""
         raise NotImplementedError
 
+    def _fail(self, what: str, exc: BaseException | None) -> None:
+        """Close after an unexpected error, so that the caller does not wait.
+
+        Nothing is said of the request, which may have run. Responses to
+        earlier ones are written before.
+        """
+        self._state.note_error(what, exc)
+        self._is_last = True
+        self._unread.clear()
+        self._unwritten_bytes = math.inf
+        self._timeout.set(self._state.caller_limits.read_stall_s)
+        self._writer.finish(self._transport.close)
+
+    def _check_time(self) -> None:
+        try:
+            self._on_timeout()
+        except Exception as exc:
+            self._fail("cannot end a connection in time", exc)
+
     def _on_timeout(self) -> None:
         """Give up what takes too long."""
         raise NotImplementedError
--- a/chiverun/integrations/listenerstate.py
+++ b/chiverun/integrations/listenerstate.py
@@ -1,8 +1,11 @@
 """State shared by all connections of a listener."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
+import logbook
+
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.callerlimits import CallerLimits
 from chiverun.core.catalog import ClientLimits
@@ -12,6 +15,8 @@
 from chiverun.integrations.httpmessages import Handler
 from chiverun.integrations.readturns import ReadTurns
 
+_LOG = logbook.Logger("server")
+
 # Shortest time between two searches for connections to close, if none was
 # found.
 _SEARCH_PAUSE_S = 0.05
@@ -48,6 +53,8 @@
         default_factory=CallerRefusals
     )
     turns: ReadTurns = dataclasses.field(default_factory=ReadTurns)
+    # Called with each unexpected error of a connection or its handler.
+    count_error: Callable[[], None] = lambda: None
     closing: bool = False
     connections: set[Connection] = dataclasses.field(default_factory=set)
     last_request_at: float = float("-inf")
@@ -57,6 +64,14 @@
         """Return the number of requests in progress."""
         return sum(conn.is_busy for conn in self.connections)
 
+    def note_error(self, what: str, exc: BaseException | None) -> None:
+        """Count and log an unexpected error."""
+        self.count_error()
+        _LOG.error(
+            what,
+            exc_info=(type(exc), exc, exc.__traceback__) if exc else None,
+        )
+
     def make_place(self, now: float) -> bool:
         """Return whether there is room for a connection.
 
--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -184,12 +184,10 @@
         turn = min(self._waiting, key=lambda row: row.debt.message_s)
         del self._waiting[turn]
         try:
-            is_done = self.process(turn, until)
+            if self.process(turn, until):
+                turn.reader.resume()
+            else:
+                self._waiting[turn] = None
         except Exception:
             _LOG.exception("cannot process a peer's bytes")
             turn.reader.abort()
-            return
-        if is_done:
-            turn.reader.resume()
-        else:
-            self._waiting[turn] = None
--- a/chiverun/integrations/refusalresponses.py
+++ b/chiverun/integrations/refusalresponses.py
@@ -14,9 +14,17 @@
 
 
 def encode_refusal(
-    http: h11.Connection, status: int, reason: RefusalReason, text: str
+    http: h11.Connection,
+    status: int,
+    reason: RefusalReason,
+    text: str,
+    *,
+    method: bytes = b"",
 ) -> bytes:
-    """Return the response after which a connection is closed."""
+    """Return the response after which a connection is closed.
+
+    `method` is that of the request, if it is known.
+    """
     body = text.encode()
     headers = [
         ("Connection", "close"),
@@ -27,6 +35,8 @@
     if status == 503:
         headers.append(("Retry-After", f"{RETRY_AFTER_S:g}"))
     head = http.send(h11.Response(status_code=status, headers=headers))
+    if method == b"HEAD":
+        return head
     return head + http.send(h11.Data(data=body))
 
 
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -210,6 +210,7 @@
             memory=memory,
             refusals=self._caller_refusals,
             turns=turns,
+            count_error=self._count_error,
         )
         self._listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -224,11 +225,14 @@
         if self.cfg.share_loads:
             self._loads.receive(message)
 
+    def _count_error(self) -> None:
+        self.metrics.unexpected_errors.add(1)
+
     def _on_unexpected(
         self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
         """Log and count an error that no caller of a callback handles."""
-        self.metrics.unexpected_errors.add(1)
+        self._count_error()
         exc = context.get("exception")
         _LOG.error(
             "unexpected error",
@@ -307,6 +311,7 @@
             memory=ByteBudget(limit=_SERVICE_BYTES),
             refusals=self._caller_refusals,
             turns=self._turns,
+            count_error=self._count_error,
         )
 
     async def run(self) -> None:
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -135,6 +135,11 @@
                 result = dataclasses.replace(
                     result, server_ended=await self._has_ended(row)
                 )
+        except Exception:
+            # The request may have run; it is treated like one without a valid
+            # response.
+            _LOG.exception("send failed", extra={"id": metadata.request_id})
+            result = SendResult(end=Incomplete(detail="unexpected error"))
         except asyncio.CancelledError:
             _LOG.info(
                 "send cancelled",
@@ -237,10 +242,13 @@
             if not row.is_usable or now < row.paused_until:
                 return SendResult(end=NotSent(detail="server is not in use"))
             is_fresh = connection.exchanges == 0
-            end = await connection.exchange(
-                self._outgoing_request(row, request, metadata, remaining_s),
-                remaining_s,
-            )
+            try:
+                outgoing = self._outgoing_request(
+                    row, request, metadata, remaining_s
+                )
+            except UnicodeError:
+                return SendResult(end=NotSent(detail="head cannot be sent"))
+            end = await connection.exchange(outgoing, remaining_s)
             result = self._interpret(
                 row, end, request_id=metadata.request_id, is_fresh=is_fresh
             )
--- a/tests/integrations/test_asyncclient.py
+++ b/tests/integrations/test_asyncclient.py
@@ -174,14 +174,17 @@
         self.addCleanup(connection.abort)
         return connection
 
-    async def _exchange(self, connection, timeout_s: float = _TIMEOUT_S):
-        request = OutgoingRequest(
-            method=b"GET",
-            target=b"/a",
-            headers=[(b"Host", b"x")],
-            body=b"",
-            matches_request=lambda rows: ("Id", "mine") in rows,
-        )
+    async def _exchange(
+        self, connection, timeout_s: float = _TIMEOUT_S, **changes
+    ):
+        fields = {
+            "method": b"GET",
+            "target": b"/a",
+            "headers": [(b"Host", b"x")],
+            "body": b"",
+            "matches_request": lambda rows: ("Id", "mine") in rows,
+        }
+        request = OutgoingRequest(**{**fields, **changes})
         return await connection.exchange(request, timeout_s)
 
     async def test_ends(self) -> None:
@@ -223,6 +226,27 @@
             await asyncio.sleep(0.01)
         self.assertIsInstance(await self._exchange(connection), NotSent)
 
+    async def test_error_while_a_response_is_processed(self) -> None:
+        """Guards against an exchange that waits until its deadline."""
+
+        def fail(_rows) -> bool:
+            raise ValueError("test")
+
+        connection = await self._connect(
+            await self._serve([_MATCHING_RESPONSE])
+        )
+        end = await self._exchange(connection, matches_request=fail)
+        self.assertIsInstance(end, Incomplete)
+        self.assertFalse(connection.reusable)
+
+    async def test_request_that_cannot_be_encoded_is_not_sent(self) -> None:
+        """Guards against an error that hides that a request did not run."""
+        for headers in ([(b"Host", b"x"), (b"X-A", b"a\r\nb")], []):
+            connection = await self._connect(await self._serve([]))
+            end = await self._exchange(connection, headers=headers)
+            self.assertIsInstance(end, NotSent)
+            self.assertFalse(connection.reusable)
+
     async def test_cancelled_exchange_closes_the_connection(self) -> None:
         """Guards against a server that continues a cancelled request."""
         connection = await self._connect(await self._serve([_HOLD]))
--- a/tests/integrations/test_asyncserver.py
+++ b/tests/integrations/test_asyncserver.py
@@ -15,10 +15,30 @@
 from chiverun.integrations.asyncserver import listen
 from chiverun.integrations.asyncserver import ListenerState
 from chiverun.integrations.asyncserver import OutgoingResponse
+from chiverun.integrations.asyncserver import ServerConnection
 
 _TIMEOUT_S = 20.0
 # More than the buffers of two sockets hold.
 _LARGE_BODY = bytes(32 * 1024 * 1024)
+# Responses that no caller can be sent.
+_UNSENDABLE = {
+    "/text": OutgoingResponse(status=200, headers=[("X-A", "\u0142")]),
+    "/line": OutgoingResponse(status=200, headers=[("X-A", "a\r\nB: c")]),
+    "/name": OutgoingResponse(status=200, headers=[("X A", "a")]),
+    "/status": OutgoingResponse(status=99, headers=[]),
+    "/length": OutgoingResponse(
+        status=200, headers=[("Content-Length", "2, 3")], body=b"ab"
+    ),
+}
+# These fail when the head has been encoded.
+_UNSENDABLE_BODIES = {
+    "/short": OutgoingResponse(
+        status=200, headers=[("Content-Length", "9")], body=b"ab"
+    ),
+    "/long": OutgoingResponse(
+        status=200, headers=[("Content-Length", "1")], body=b"ab"
+    ),
+}
 _LIMITS = ClientLimits(
     header_bytes=1024,
     body_bytes=100,
@@ -31,13 +51,24 @@
     async def asyncSetUp(self) -> None:
         self.handled_requests: list[IncomingRequest] = []
         self.cancelled = asyncio.Event()
-        self.state = ListenerState(handler=self._handle, limits=_LIMITS)
+        self.errors = 0
+        self.state = ListenerState(
+            handler=self._handle, limits=_LIMITS, count_error=self._count_error
+        )
         server = await listen("127.0.0.1:0", self.state)
         self.addCleanup(server.close)
         self.address = server.sockets[0].getsockname()
 
+    def _count_error(self) -> None:
+        self.errors += 1
+
     async def _handle(self, incoming: IncomingRequest) -> OutgoingResponse:
         self.handled_requests.append(incoming)
+        unsendable = {**_UNSENDABLE, **_UNSENDABLE_BODIES}
+        if incoming.target in unsendable:
+            return unsendable[incoming.target]
+        if incoming.target == "/cancelled":
+            raise asyncio.CancelledError
         if incoming.target == "/large":
             return OutgoingResponse(status=200, headers=[], body=_LARGE_BODY)
         if incoming.target == "/fails":
@@ -136,6 +167,70 @@
         )
         self.assertEqual(b"500", response[9:12])
 
+    async def test_response_that_cannot_be_sent(self) -> None:
+        """Guards against callers that wait for an answer that never comes.
+
+        The request may have run, so it is not refused.
+        """
+        for target in _UNSENDABLE:
+            with self.subTest(target):
+                self.errors = 0
+                raw = f"GET {target} HTTP/1.1\r\nHost: x\r\n".encode()
+                response = await self._send(raw + b"Connection: close\r\n\r\n")
+                self.assertEqual(b"502", response[9:12])
+                self.assertEqual(1, self.errors)
+
+    async def test_task_that_ends_without_a_response(self) -> None:
+        """Guards against a connection that stays open and silent."""
+        for target in ("/cancelled", *_UNSENDABLE_BODIES):
+            with self.subTest(target):
+                self.errors = 0
+                raw = f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+                self.assertEqual(b"", await self._send(raw))
+                self.assertEqual(1, self.errors)
+
+    async def test_error_while_a_request_is_read(self) -> None:
+        """Guards against a connection that an error leaves silent."""
+        raw = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+        for name in ("_start_request", "_start_handler"):
+            for must_wait in (False, True):
+                with (
+                    self.subTest(f"{name}, {must_wait}"),
+                    mock.patch.object(ServerConnection, name, _fail),
+                    mock.patch.object(
+                        TimeDebt, "must_wait", return_value=must_wait
+                    ),
+                ):
+                    self.errors = 0
+                    self.assertEqual(b"", await self._send(raw))
+                    self.assertEqual(1, self.errors)
+
+    async def test_error_does_not_cut_an_earlier_response(self) -> None:
+        """Guards against a response lost for the error of the next one."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(
+            b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n"
+            b"GET /cancelled HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        response = await asyncio.wait_for(reader.read(), _TIMEOUT_S)
+        self.assertTrue(response.endswith(_LARGE_BODY))
+
+    async def test_error_of_a_time_limit(self) -> None:
+        """Guards against a connection that outlasts its limit for ever."""
+        with mock.patch.object(ServerConnection, "_on_timeout", _fail):
+            self.assertEqual(b"", await self._send(b"GET /a HT"))
+        self.assertEqual(1, self.errors)
+
+    async def test_refused_head_request_is_answered(self) -> None:
+        """Guards against a refusal whose body a HEAD request cannot have."""
+        response = await self._send(
+            b"HEAD /a HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n"
+        )
+        self.assertEqual(b"413", response[9:12])
+        self.assertTrue(response.endswith(b"\r\n\r\n"))
+        self.assertEqual(0, self.errors)
+
     async def test_closing_server_sends_connection_close(self) -> None:
         """Guards against callers that stay connected to a stopping server."""
         self.state.closing = True
@@ -372,3 +467,7 @@
         self.state.memory.limit = 5
         full = await self._send(head + b"Content-Length: 9\r\n\r\n")
         self.assertIn(b"X-Chiverun-Code: 309", full)
+
+
+def _fail(*_args) -> None:
+    raise ValueError("test")
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 import logbook
+import msgspec
 
 from chiverun.core.bytebudget import ByteBudget
 from chiverun.core.exchange import Answered
+from chiverun.core.exchange import Incomplete
 from chiverun.core.exchange import Mismatched
 from chiverun.core.exchange import NotSent
 from chiverun.core.exchange import Shed
@@ -266,6 +269,24 @@
             self.assertIsInstance(result.end, NotSent, address)
             self.assertEqual(0, row.connections)
 
+    async def test_unexpected_error_after_a_send(self) -> None:
+        """Guards against an error that hides that a request may have run."""
+        row = await self._start([], [])
+        with mock.patch.object(Sender, "_interpret", side_effect=ValueError):
+            result = await self._send(row, 1)
+        self.assertIsInstance(result.end, Incomplete)
+        self.assertFalse(result.is_not_run)
+        self.assertEqual((0, 0), (row.connections, row.load.in_flight))
+
+    async def test_name_that_no_header_can_carry(self) -> None:
+        """Guards against an error for what another one relays."""
+        row = await self._start([], [])
+        for name in ("i-\u0142", "i\r\nX-A: b", "i "):
+            row.server = msgspec.structs.replace(row.server, name=name)
+            result = await self._send(row, 1)
+            self.assertIsInstance(result.end, NotSent)
+        self.assertEqual(0, self.requests_read)
+
     async def test_old_choice_is_not_used(self) -> None:
         """Guards against acting on a choice from before a pause.
 
