Read the numbers that servers and callers state by one strict parser

Forms of the same fault: a load of 200 digits kept its server unused for good; a load, cold time or keep-alive that int() refuses, or the digit "\xc2\xb2", failed the answer it came with (an unsafe request, which had run, got 502, a sound answer 500); a deadline like that failed a caller's request; a pause of 86,400 s was believed whole.

Cause: each header had a parser of its own, built on str.isdigit and int or float, and nothing said which values are credible or when one stops counting.

Change: core/statednumbers.py reads each stated number and has its range. What is out of range counts as not stated. A load is believed for 5 s and only up to what a server with its slots can have; a cold time up to two cold starts, and until its source states another (core/coldtime.py); a pause up to 300 s; an idle timeout until the next answer. Load and cold time count only from answers that are proven to be the server's own, as the limit did before. A deadline of 0 is one now, and no longer the default.

The tests of loads, cold servers and selection pass the new argument or field; their checks are unchanged.

--- a/chiverun/core/loads.py
+++ b/chiverun/core/loads.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 from chiverun.core.loadtotals import AGE_MAX_S
+from chiverun.core.statednumbers import is_credible_load
+from chiverun.core.statednumbers import LOAD_COUNT
 
 # Half-life of a server's report about requests of other machines.
 REPORT_HALF_LIFE_S = 0.5
@@ -32,12 +34,17 @@
     # Run time at this server, relative to what is usual for the route.
     run_ratio: float = 1.0
 
-    def report(self, running: int, waiting: int, now: float) -> None:
+    def report(
+        self, running: int, waiting: int, now: float, *, slots: int
+    ) -> None:
         """Apply a load report that arrived with a response.
 
         Neither the report nor `in_flight` counts the request of that
-        response.
+        response. A report of more requests than a server with these slots can
+        have says nothing.
         """
+        if not is_credible_load(running + waiting, slots):
+            return
         self.others = max(0.0, running + waiting - self.in_flight)
         self.reported_at = now
         regional = self.regional if self.has_totals(now) else 0.0
@@ -77,4 +84,6 @@
 
     def _remaining(self, now: float) -> float:
         age_s = max(0.0, now - self.reported_at)
+        if age_s > LOAD_COUNT.valid_s:
+            return 0.0
         return 0.5 ** (age_s / REPORT_HALF_LIFE_S)
--- a/chiverun/core/requestframe.py
+++ b/chiverun/core/requestframe.py
@@ -9,6 +9,8 @@
 import enum
 import re
 
+from chiverun.core.statednumbers import parse_size
+
 _HEAD_END = b"\r\n\r\n"
 _LINE_END = b"\r\n"
 # Chunk extensions have no use here.
@@ -106,12 +108,11 @@
             line_end = data.find(b"\n", self._chunk_at)
             if line_end < 0:
                 return self._await_size_line(data)
-            try:
-                size = int(data[self._chunk_at : line_end].split(b";")[0], 16)
-            except ValueError:
+            size = parse_size(data[self._chunk_at : line_end].split(b";")[0])
+            if size is None:
                 return Arrived.INVALID
             counted = self._chunk_bytes + line_end + 1 - self._chunk_at
-            if size < 0 or counted + size > self._body_bytes_max:
+            if counted + size > self._body_bytes_max:
                 return Arrived.INVALID
             if size == 0:
                 return Arrived.ALL
--- a/chiverun/core/serverlimit.py
+++ b/chiverun/core/serverlimit.py
@@ -14,6 +14,7 @@
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import ServerName
 from chiverun.core.placement import hash_fraction
+from chiverun.core.statednumbers import LIMIT_PER_S
 
 # Machines that may share any limit, and the seconds of the rate by which their
 # number grows. Each can send a request at any moment, so this is also what all
@@ -25,7 +26,7 @@
 BURST_RATE_S = 0.5
 # A machine without a share cannot see that the limit has ended. It tries the
 # server again after this time without news, also from other machines.
-LIMIT_MEMORY_S = 60.0
+LIMIT_MEMORY_S = LIMIT_PER_S.valid_s
 # Limits in force are reported to other machines if they are no older, so that
 # reports of a machine that gets no more responses end.
 REPORT_AGE_MAX_S = 5.0
--- a/chiverun/core/ticketbase.py
+++ b/chiverun/core/ticketbase.py
@@ -12,6 +12,8 @@
 from chiverun.core.state import decode_state
 from chiverun.core.state import encode_state
 from chiverun.core.state import State
+from chiverun.core.statednumbers import parse_whole
+from chiverun.core.statednumbers import StatedNumber
 
 if TYPE_CHECKING:
     from chiverun.integrations.interfaces import Item
@@ -19,6 +21,7 @@
 BASE_KEY = "chiverun/base"
 CHUNK_PREFIX = "chiverun/base/"
 _CHUNK_BYTES = 900_000
+_TICKET_NUMBER = StatedNumber(high=10**15, unit="")
 
 
 class BasePointer(msgspec.Struct, frozen=True, kw_only=True):
@@ -109,4 +112,4 @@
 def number_from_key(key: str, prefix: str) -> int | None:
     """Return the ticket number after the prefix of a key, if any."""
     text = key.removeprefix(prefix).partition("/")[0]
-    return int(text) if text.isascii() and text.isdigit() else None
+    return parse_whole(text, _TICKET_NUMBER)
--- a/chiverun/platform/headercodec.py
+++ b/chiverun/platform/headercodec.py
@@ -1,10 +1,16 @@
 """Headers of the platform's requests and responses."""
 
-import math
-
 from chiverun.core.catalog import Server
 from chiverun.core.headertext import Headers
 from chiverun.core.ids import ServerName
+from chiverun.core.statednumbers import COLD_MS
+from chiverun.core.statednumbers import DEADLINE_MS
+from chiverun.core.statednumbers import LIMIT_PER_S
+from chiverun.core.statednumbers import LOAD_COUNT
+from chiverun.core.statednumbers import parse_decimal
+from chiverun.core.statednumbers import parse_whole
+from chiverun.core.statednumbers import PAUSE_S
+from chiverun.core.statednumbers import SLOWDOWN_PERCENT
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.runtime.headercodec import CallerIdentity
 from chiverun.runtime.headercodec import RequestMetadata
@@ -30,9 +36,12 @@
 _LEAVING = "server-leaving"
 # Of a rejection: seconds, from the machine that gets it.
 _PAUSE = "retry-after"
-# A longer pause than any server stays.
-_PAUSE_MAX_S = 86_400.0
 _DEADLINE_MS_MAX = 3_600_000
+# Figures of a server's load that are read, and those that must be there.
+_LOAD_PARTS = 4
+_LOAD_PARTS_MIN = 3
+# Part of a number that cannot be read which is logged.
+_FAULT_LENGTH_MAX = 80
 # A server sends each of these at most once in a response.
 _SINGLE = frozenset({_REQUEST_ID, _RESPONSE_STAMP, _NOT_RUN, _SERVER_NAME})
 
@@ -83,7 +92,7 @@
     ) -> ResponseMetadata:
         """Return the metadata in the headers of a server's response."""
         values = {name.lower(): value for name, value in headers}
-        limit_per_s = _parse_decimal(values.get(_LIMIT))
+        limit_per_s = parse_decimal(values.get(_LIMIT), LIMIT_PER_S)
         return ResponseMetadata(
             request_id=values.get(_REQUEST_ID),
             is_stamped=_RESPONSE_STAMP in values,
@@ -95,9 +104,12 @@
             load=_parse_load(values.get(_LOAD)),
             cold_s=_parse_ms(values.get(_COLD_MS)),
             limit_per_s=limit_per_s,
-            limit_fault=values.get(_LIMIT) if limit_per_s is None else None,
+            limit_fault=values[_LIMIT][:_FAULT_LENGTH_MAX]
+            if limit_per_s is None and _LIMIT in values
+            else None,
             is_leaving=values.get(_LEAVING, "").strip() == "1",
-            pause_s=_parse_pause(values.get(_PAUSE))
+            # A date or another value asks for no pause.
+            pause_s=parse_decimal(values.get(_PAUSE), PAUSE_S) or None
             if status == 503
             else None,
             is_mixed=_is_mixed(headers),
@@ -117,36 +129,27 @@
 
 
 def _parse_deadline_s(text: str | None) -> float | None:
-    if text is None or not text.strip().isdigit():
+    deadline_ms = parse_whole(text, DEADLINE_MS)
+    if deadline_ms is None:
         return None
-    return min(_DEADLINE_MS_MAX, int(text)) / 1000.0
+    return min(_DEADLINE_MS_MAX, deadline_ms) / 1000.0
 
 
 def _parse_ms(text: str | None) -> float | None:
-    return int(text) / 1000.0 if text and text.strip().isdigit() else None
-
-
-def _parse_decimal(text: str | None) -> float | None:
-    """Parse a finite decimal number from 0 on."""
-    try:
-        number = float(text or "")
-    except ValueError:
-        return None
-    return number if math.isfinite(number) and number >= 0 else None
-
-
-def _parse_pause(text: str | None) -> float | None:
-    """Parse seconds; a date or another value asks for no pause."""
-    pause_s = _parse_decimal(text)
-    return min(pause_s, _PAUSE_MAX_S) if pause_s else None
+    cold_ms = parse_whole(text, COLD_MS)
+    return None if cold_ms is None else cold_ms / 1000.0
 
 
 def _parse_load(text: str | None) -> ServerLoad | None:
     """Parse ``running,waiting,slots[,slowdown in percent]``."""
-    parts = (text or "").split(",")
-    if len(parts) < 3 or not all(p.strip().isdigit() for p in parts[:4]):
+    parts = (text or "").split(",", maxsplit=_LOAD_PARTS)[:_LOAD_PARTS]
+    ranges = (LOAD_COUNT, LOAD_COUNT, LOAD_COUNT, SLOWDOWN_PERCENT)
+    numbers = [
+        parse_whole(part, number)
+        for part, number in zip(parts, ranges, strict=False)
+    ]
+    if len(numbers) < _LOAD_PARTS_MIN or None in numbers:
         return None
-    numbers = [int(part) for part in parts[:4]]
     return ServerLoad(
         running=numbers[0],
         waiting=numbers[1],
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -27,6 +27,8 @@
 from chiverun.core.revisions import Revision
 from chiverun.core.revisions import STORE_REVISION_MAX
 from chiverun.core.revisions import store_revision_of
+from chiverun.core.statednumbers import parse_whole
+from chiverun.core.statednumbers import StatedNumber
 from chiverun.core.timeshare import TURN_S
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
@@ -49,7 +51,7 @@
 # Header that counts how often the store was restored from an older copy, after
 # which its revisions go back.
 _ERA = "store-era"
-_ERA_DIGITS = len(str(ERA_MAX))
+_ERA_RANGE = StatedNumber(high=ERA_MAX, unit="")
 # Far above a page of a listing, which has about 1 MB. Changes that take more
 # are read as a listing.
 _BODY_BYTES_MAX = 16 * 1024 * 1024
@@ -264,9 +266,8 @@
     """
     if text is None:
         return known
-    if not (text.isascii() and text.isdigit() and len(text) <= _ERA_DIGITS):
-        return None
-    return Era(int(text)) if int(text) <= ERA_MAX else None
+    era = parse_whole(text, _ERA_RANGE)
+    return None if era is None else Era(era)
 
 
 def decode_body(data: bytes, path: str) -> dict[str, Any]:
--- a/chiverun/runtime/coldchecks.py
+++ b/chiverun/runtime/coldchecks.py
@@ -112,14 +112,17 @@
             )
             return
         self._next_at[name] = started_at + CHECK_PERIOD_S
-        if metadata.server != name or not metadata.cold_s:
+        if metadata.server != name:
+            return
+        cold_s = min(metadata.cold_s or 0.0, row.cold_limit_s)
+        row.cold_time.apply_check(cold_s, sent_at=started_at, now=now)
+        if not cold_s:
             return
-        row.cold_until = max(row.cold_until, now + metadata.cold_s)
         _LOG.info(
             "server is cold",
             extra={
                 "server": name,
-                "cold_left_ms": round(1000 * metadata.cold_s),
+                "cold_left_ms": round(1000 * cold_s),
                 "recent_sends": row.cold.recent_sends(now),
                 "catalog_age_ms": round(1000 * self._catalog_age_s()),
             },
--- a/chiverun/runtime/execution.py
+++ b/chiverun/runtime/execution.py
@@ -13,6 +13,8 @@
 from chiverun.core.ids import ServerName
 from chiverun.core.retries import HedgePlan
 from chiverun.core.retries import plan_hedge
+from chiverun.core.statednumbers import DEADLINE_MS
+from chiverun.core.statednumbers import parse_whole
 from chiverun.core.ticket import RequestClass
 from chiverun.integrations.backend import HOP_HEADERS
 from chiverun.integrations.backend import OutgoingRequest
@@ -295,6 +297,7 @@
     ValueError
         The text is not a number of milliseconds.
     """
-    if not (text.isascii() and text.isdigit() and len(text) <= 15):
-        raise ValueError(f"deadline is {text!r}; valid: milliseconds")
-    return clock.monotonic() + int(text) / 1000.0 - clock.wall()
+    epoch_ms = parse_whole(text, DEADLINE_MS)
+    if epoch_ms is None:
+        raise ValueError(f"deadline is {text[:80]!r}; valid: {DEADLINE_MS}")
+    return clock.monotonic() + epoch_ms / 1000.0 - clock.wall()
--- a/chiverun/runtime/request.py
+++ b/chiverun/runtime/request.py
@@ -9,6 +9,8 @@
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServiceName
 from chiverun.core.lookup import origin_region
+from chiverun.core.statednumbers import DEADLINE_MS
+from chiverun.core.statednumbers import parse_whole
 from chiverun.core.ticket import Region
 from chiverun.core.ticket import RequestClass
 from chiverun.core.ticket import Service
@@ -117,13 +119,13 @@
     ) -> float:
         max_ms = request_class.deadline_ms
         text = req.header("x-deadline-ms", str(max_ms))
-        is_number = text.isascii() and text.isdigit() and len(text) <= 15
-        if not is_number or int(text) == 0:
+        deadline_ms = parse_whole(text, DEADLINE_MS)
+        if not deadline_ms:
             raise ChiverunError(
                 ResultCode.DEADLINE_INVALID,
-                f"X-Deadline-Ms is {text!r}; valid: 1 to {max_ms}",
+                f"X-Deadline-Ms is {text[:80]!r}; valid: 1 to {max_ms}",
             )
-        return self._clock.monotonic() + min(int(text), max_ms) / 1000.0
+        return self._clock.monotonic() + min(deadline_ms, max_ms) / 1000.0
 
 
 def match_class(service: Service, method: str, path: str) -> RequestClass:
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -22,6 +22,8 @@
 from chiverun.core.headertext import Headers
 from chiverun.core.health import eject
 from chiverun.core.health import record
+from chiverun.core.statednumbers import KEEP_ALIVE_S
+from chiverun.core.statednumbers import parse_whole
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
 from chiverun.integrations.asyncclient import OutgoingRequest
@@ -31,6 +33,7 @@
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
 from chiverun.runtime.serverstatements import apply_statements
+from chiverun.runtime.servertable import KEEP_ALIVE_DEFAULT_S
 from chiverun.runtime.servertable import MISDIRECTED_PAUSE_S
 from chiverun.runtime.servertable import ServerRow
 
@@ -357,12 +360,6 @@
         response = result.metadata
         if response is not None:
             row.answered_at = now
-            if response.load is not None:
-                row.load.report(
-                    response.load.running, response.load.waiting, now
-                )
-            if response.cold_s:
-                row.cold_until = max(row.cold_until, now + response.cold_s)
             is_own = not isinstance(result.end, Mismatched)
             if is_own and not response.is_other_server:
                 apply_statements(
@@ -465,10 +462,20 @@
 
 
 def _update_keep_alive(row: ServerRow, headers: Headers) -> None:
-    for name, value in headers:
-        if name.lower() != "keep-alive":
-            continue
-        for part in value.split(","):
-            key, _, text = part.strip().partition("=")
-            if key == "timeout" and text.isdigit():
-                row.keep_alive_s = max(0.0, int(text) - KEEP_ALIVE_MARGIN_S)
+    """Apply the idle timeout that a response states, or states no more."""
+    values = {name.lower(): value for name, value in headers}
+    if "keep-alive" in values:
+        stated_s = _parse_keep_alive(values["keep-alive"])
+        if stated_s is not None:
+            row.keep_alive_s = max(0.0, stated_s - KEEP_ALIVE_MARGIN_S)
+    elif "close" not in values.get("connection", "").lower():
+        row.keep_alive_s = KEEP_ALIVE_DEFAULT_S
+
+
+def _parse_keep_alive(value: str) -> int | None:
+    """Return the timeout in seconds, None if none is stated."""
+    for part in value.split(","):
+        key, _, text = part.strip().partition("=")
+        if key == "timeout":
+            return parse_whole(text, KEEP_ALIVE_S)
+    return None
--- a/chiverun/runtime/serverstatements.py
+++ b/chiverun/runtime/serverstatements.py
@@ -3,6 +3,7 @@
 import logbook
 
 from chiverun.core.errors import ResultCode
+from chiverun.core.statednumbers import LIMIT_PER_S
 from chiverun.runtime.headercodec import ResponseMetadata
 from chiverun.runtime.servertable import ServerRow
 
@@ -17,10 +18,23 @@
     sent_at: float,
     now: float,
 ) -> None:
-    """Apply the limit, the leaving and the pause that a response names.
+    """Apply what a response to a request of `sent_at` says of its server.
 
-    Times are event loop time; the response answers a request of `sent_at`.
+    Times are event loop time. Nothing may be applied of a response that may
+    be another server's or belong to another request.
     """
+    if response.load is not None:
+        row.load.report(
+            response.load.running,
+            response.load.waiting,
+            now,
+            slots=row.server.slots,
+        )
+    row.cold_time.apply_answer(
+        min(response.cold_s or 0.0, row.cold_limit_s),
+        sent_at=sent_at,
+        now=now,
+    )
     extra = {"id": request_id, "server": row.server.name}
     _apply_limit(row, response, extra, sent_at, now)
     if response.is_leaving and not row.is_leaving:
@@ -53,7 +67,7 @@
                 **extra,
                 "code": int(ResultCode.SERVER_LIMIT_INVALID),
                 "value": response.limit_fault,
-                "valid": "requests a second, a decimal number from 0 on",
+                "valid": str(LIMIT_PER_S),
             },
         )
         return
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -11,6 +11,7 @@
 from chiverun.core.catalog import ServerState
 from chiverun.core.coldlimit import COLD_WINDOW_S
 from chiverun.core.coldlimit import ColdLimit
+from chiverun.core.coldtime import ColdTime
 from chiverun.core.health import ServerHealth
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import RegionName
@@ -22,6 +23,7 @@
 from chiverun.core.replica import Replica
 from chiverun.core.serverlimit import LimitBucket
 from chiverun.core.serverlimit import NamedLimit
+from chiverun.core.statednumbers import cold_limit_s
 from chiverun.integrations.asyncclient import ClientConnection
 
 _LOG = logbook.Logger("servers")
@@ -35,6 +37,8 @@
 LEAVING_MEMORY_S = 120.0
 # Idle timeout of a server that sends no Keep-Alive header.
 KEEP_ALIVE_DEFAULT_S = 4.0
+# Limit of a server's cold time while its service is not known.
+COLD_LIMIT_DEFAULT_S = 20.0
 # Window of the count of own sends that is logged beside a server's limit.
 RECENT_SENDS_WINDOW_S = 4.0
 
@@ -53,7 +57,9 @@
     recent_sends: WindowCount = dataclasses.field(
         default_factory=lambda: WindowCount(window_s=RECENT_SENDS_WINDOW_S)
     )
-    cold_until: float = float("-inf")
+    cold_time: ColdTime = dataclasses.field(default_factory=ColdTime)
+    # The server cannot stay cold for longer, whatever it says.
+    cold_limit_s: float = COLD_LIMIT_DEFAULT_S
     misdirected_until: float = float("-inf")
     # The server wants no requests of this machine before.
     paused_until: float = float("-inf")
@@ -69,6 +75,11 @@
     connections: int = 0
     keep_alive_s: float = KEEP_ALIVE_DEFAULT_S
 
+    @property
+    def cold_until(self) -> float:
+        """Until when the server is cold."""
+        return self.cold_time.until
+
     @property
     def is_usable(self) -> bool:
         """Whether the server may get new requests."""
@@ -157,13 +168,14 @@
                 continue
             seen.add(server.name)
             row = self._row(server, regions[server.zone])
-            cold_left_s = server.cold_left_s - (now - changed_at)
-            row.cold_until = max(row.cold_until, now + cold_left_s)
+            cold_start_s = routes.service(server.service).cold_s
+            row.cold_limit_s = cold_limit_s(cold_start_s)
+            cold_left_s = min(server.cold_left_s, row.cold_limit_s)
+            row.cold_time.recorded_until = changed_at + cold_left_s
             row.is_evacuated = server.zone in evacuated
             if server.zone in returned:
                 # Its cache may have gone cold while it got no requests.
-                cold_s = routes.service(server.service).cold_s
-                row.cold_until = max(row.cold_until, now + cold_s)
+                row.cold_time.returned_until = now + cold_start_s
         self._remove(self.rows.keys() - seen, now)
         self.by_service = {}
         for row in self.rows.values():
@@ -230,7 +242,7 @@
     if _is_same_process(old.server, new.server):
         new.limit = old.limit
         new.bucket = old.bucket
-        new.cold_until = old.cold_until
+        new.cold_time = old.cold_time
         new.leaving_since = old.leaving_since
         new.paused_until = old.paused_until
 
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -177,7 +177,9 @@
         self._arrivals[service] += 1
         budget = self._budget(service)
         budget.record_request(self._loop.time())
-        deadline_s = metadata.deadline_s or DEADLINE_DEFAULT_S
+        deadline_s = metadata.deadline_s
+        if deadline_s is None:
+            deadline_s = DEADLINE_DEFAULT_S
         limit_s = min(deadline_s, route.timeout_s + TIMEOUT_SLACK_S)
         return Request(
             incoming=incoming,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -25,7 +25,7 @@
     asks for a pause of these seconds. A request for `deadly_target` ends the
     server `DEADLY_RUN_S` after it has arrived. `body_bytes` is the size of
     responses' bodies, 0 for the usual one; `rows` are further lines of their
-    heads, and `stamp` is their stamp.
+    heads, `stamp` is their stamp and `load` what they say of the load.
     """
 
     answer: bytes | None = None
@@ -46,6 +46,7 @@
     body_bytes: int = 0
     rows: bytes = b""
     stamp: bytes = b"s"
+    load: bytes = b"0,0,4,100"
 
 
 class Upstream:
@@ -59,6 +60,9 @@
         self.address = address
         self.zone = zone
         self.faults = UpstreamFaults()
+        # Faults of one of `spoilt_each` requests, unless 0.
+        self.spoilt = UpstreamFaults()
+        self.spoilt_each = 0
         self.runs: collections.Counter[str] = collections.Counter()
         self.cancelled: list[str] = []
         self.targets: list[str] = []
@@ -141,74 +145,94 @@
         if expected != self.name:
             writer.write(_response(421, request_id, b"", b""))
             return True
-        if self.faults.shed or self.faults.retry_after is not None:
+        faults = self._faults_of_next()
+        if faults.shed or faults.retry_after is not None:
             not_run = b"X-Chiverun-Not-Run: 1\r\n"
-            if self.faults.retry_after is not None:
-                not_run += (
-                    f"Retry-After: {self.faults.retry_after}\r\n".encode()
-                )
-            self._write(writer, _response(503, request_id, b"", not_run))
+            if faults.retry_after is not None:
+                not_run += f"Retry-After: {faults.retry_after}\r\n".encode()
+            self._write(
+                writer, _response(503, request_id, b"", not_run), faults
+            )
             return True
         self.runs[request_id] += 1
         self.targets.append(request_line.split(" ")[1])
         self.headers.append(headers)
-        if self.targets[-1] == self.faults.deadly_target:
+        if self.targets[-1] == faults.deadly_target:
             await asyncio.sleep(DEADLY_RUN_S)
             self.end()
             return False
-        if not await self._work(reader, request_id) or self.faults.reset:
+        if not await self._work(reader, request_id, faults) or faults.reset:
             return False
-        if self.faults.answer is not None:
-            writer.write(self.faults.answer)
-            await self._send_endless(writer)
+        if faults.answer is not None:
+            writer.write(faults.answer)
+            await self._send_endless(writer, faults)
             return False
-        extra = b"X-Chiverun-Response-Stamp: %b\r\n" % self.faults.stamp
-        if self.faults.limit is not None:
-            extra += f"Server-Limit: {self.faults.limit}\r\n".encode()
-        if self.faults.leaving:
+        extra = b"X-Chiverun-Response-Stamp: %b\r\n" % faults.stamp
+        if faults.limit is not None:
+            extra += f"Server-Limit: {faults.limit}\r\n".encode()
+        if faults.leaving:
             extra += b"Server-Leaving: 1\r\n"
-        extra += self.faults.rows
+        extra += faults.rows
         response = _response(
-            self.faults.status,
+            faults.status,
             request_id,
-            bytes(self.faults.body_bytes)
+            bytes(faults.body_bytes)
             or b"ran " + request_id.encode() + b" " + body,
             extra,
+            load=faults.load,
         )
-        self._write(writer, response)
-        if self.faults.extra:
+        self._write(writer, response, faults)
+        if faults.extra:
             writer.write(_response(200, "other", b"other", b""))
         await writer.drain()
         return True
 
+    def _faults_of_next(self) -> UpstreamFaults:
+        """Return the faults of the next request."""
+        is_spoilt = (
+            self.spoilt_each > 0
+            and len(self.arrived_at) % self.spoilt_each == 0
+        )
+        return self.spoilt if is_spoilt else self.faults
+
     def _health_response(self) -> bytes:
         extra = f"X-Chiverun-Instance-Id: {self.name}\r\n"
         if self.faults.cold_ms is not None:
             extra += f"X-Chiverun-Cold-Ms: {self.faults.cold_ms}\r\n"
         return _response(200, "", b"", extra.encode())
 
-    def _write(self, writer: asyncio.StreamWriter, response: bytes) -> None:
+    def _write(
+        self,
+        writer: asyncio.StreamWriter,
+        response: bytes,
+        faults: UpstreamFaults,
+    ) -> None:
         """Send a response, and once more if it is to be copied."""
         writer.write(response)
-        if self.faults.copy_after_s is not None:
+        if faults.copy_after_s is not None:
             asyncio.get_running_loop().call_later(
-                self.faults.copy_after_s, writer.write, response
+                faults.copy_after_s, writer.write, response
             )
 
-    async def _send_endless(self, writer: asyncio.StreamWriter) -> None:
-        endless = self.faults.endless
+    async def _send_endless(
+        self, writer: asyncio.StreamWriter, faults: UpstreamFaults
+    ) -> None:
+        endless = faults.endless
         while endless:
             writer.write(endless)
             await writer.drain()
 
     async def _work(
-        self, reader: asyncio.StreamReader, request_id: str
+        self,
+        reader: asyncio.StreamReader,
+        request_id: str,
+        faults: UpstreamFaults,
     ) -> bool:
         """Wait `delay_s`; return False if the caller closes the connection."""
-        if not self.faults.delay_s:
+        if not faults.delay_s:
             return True
         try:
-            data = await asyncio.wait_for(reader.read(1), self.faults.delay_s)
+            data = await asyncio.wait_for(reader.read(1), faults.delay_s)
         except TimeoutError:
             return True
         if not data:
@@ -217,11 +241,20 @@
 
 
 def _response(
-    status: int, request_id: str, body: bytes, extra: bytes
+    status: int,
+    request_id: str,
+    body: bytes,
+    extra: bytes,
+    *,
+    load: bytes = b"0,0,4,100",
 ) -> bytes:
     head = (
-        f"HTTP/1.1 {status} x\r\nContent-Length: {len(body)}\r\n"
-        f"X-Chiverun-Request-Id: {request_id}\r\n"
-        "X-Chiverun-Server-Load: 0,0,4,100\r\n"
+        (
+            f"HTTP/1.1 {status} x\r\nContent-Length: {len(body)}\r\n"
+            f"X-Chiverun-Request-Id: {request_id}\r\n"
+        ).encode()
+        + b"X-Chiverun-Server-Load: "
+        + load
+        + b"\r\n"
     )
-    return head.encode() + extra + b"\r\n" + body
+    return head + extra + b"\r\n" + body
--- a/tests/runtime/loadmodel.py
+++ b/tests/runtime/loadmodel.py
@@ -166,7 +166,9 @@
 
         def done(is_run: bool, running: int, waiting: int) -> None:
             row.load.in_flight -= 1
-            row.load.report(running, waiting, self._model.now)
+            row.load.report(
+                running, waiting, self._model.now, slots=row.server.slots
+            )
             if is_run:
                 elapsed_s = self._model.now - arrived_at
                 row.load.record_run(elapsed_s / factor / run_s)
--- a/tests/runtime/test_selection.py
+++ b/tests/runtime/test_selection.py
@@ -256,7 +256,7 @@
         )
         for row in self.table.rows.values():
             if row.region == "a":
-                row.cold_until = _NOW + 1
+                row.cold_time.recorded_until = _NOW + 1
         bounds = EdgeBounds(cold_extra=0.0)
         self.selector = make_selector(self.table, "a1", ("a2",), bounds)
         choice = self._choose(spec)
@@ -275,7 +275,7 @@
         table = make_table(a1=4, a2=4)
         for row in table.rows.values():
             if row.server.zone == "a1":
-                row.cold_until = _NOW + 1000.0
+                row.cold_time.recorded_until = _NOW + 1000.0
         selector = make_selector(table, zone, ("a1", "a2"), machines=machines)
         spec = ServiceSpec(name="mill", cold_per_s=2.0)
         return {
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -239,7 +239,7 @@
         row = await self._start([_response(2)], [])
         with logbook.TestHandler().applicationbound() as logs:
             await self._send(row, 1)
-            row.cold_until = self.loop.time() + 2.0
+            row.cold_time.recorded_until = self.loop.time() + 2.0
             await self._send(row, 2)
         warm, cold = (r.extra for r in logs.records)
         self.assertNotIn("cold_left_ms", warm)
@@ -254,7 +254,7 @@
         Its rate has a margin for a fraction of a second only.
         """
         row = await self._start([], [])
-        row.cold_until = self.loop.time() + 60.0
+        row.cold_time.recorded_until = self.loop.time() + 60.0
         late = await self._send(row, 1, age_s=0.5)
         self.assertIsInstance(late.end, NotSent)
         self.assertEqual(0, self.requests_read)
