Reject answers whose stated length cannot be read

Callers of the product's own interface could get a part of an answer as a whole one: http.client takes a Content-Length that int() refuses, such as one of 5,000 digits, for none and reads until the connection ends. The check of the length let all ASCII digits pass.

The length goes through the parser of stated numbers now.

Evidence: tests.integrations.test_backend, 'length of 5,000 digits' failed before.

--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -34,12 +34,16 @@
 from chiverun.core.exchange import TimedOut
 from chiverun.core.exchange import TooLarge
 from chiverun.core.ids import Address
+from chiverun.core.statednumbers import BODY_BYTES
+from chiverun.core.statednumbers import parse_whole
+from chiverun.core.statednumbers import StatedNumber
 from chiverun.integrations.cancellation import Cancellation
 from chiverun.integrations.connection import DeadlineConnection
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.network import split_address
 
 _CHUNK_BYTES = 65536
+_CODE_RANGE = StatedNumber(high=max(ResultCode), unit="")
 _EXCHANGE_ERRORS = (HTTPError, http.client.HTTPException, OSError, ValueError)
 HOP_HEADERS = frozenset(
     {
@@ -231,10 +235,11 @@
     if not lengths:
         has_body = method != "HEAD" and resp.status not in (204, 304)
         return "no length" if has_body else None
-    if len(lengths) > 1 or not all(
-        v.isascii() and v.isdigit() for v in lengths
-    ):
-        return f"lengths {sorted(lengths)}"
+    # http.client takes the end of the connection for that of a body whose
+    # length it cannot read.
+    texts = [parse_whole(text, BODY_BYTES) for text in lengths]
+    if len(texts) > 1 or None in texts:
+        return "lengths that are not valid"
     return None
 
 
@@ -281,8 +286,9 @@
 
 
 def _result_code(resp: urllib3.BaseHTTPResponse) -> ResultCode:
+    code = parse_whole(resp.headers.get(CODE_HEADER), _CODE_RANGE)
     try:
-        return ResultCode(int(resp.headers.get(CODE_HEADER, "")))
+        return ResultCode.INTERNAL if code is None else ResultCode(code)
     except ValueError:
         return ResultCode.INTERNAL
 
--- a/tests/integrations/test_backend.py
+++ b/tests/integrations/test_backend.py
@@ -212,6 +212,21 @@
             Incomplete,
         ),
         ("bad length", _OK + b"Content-Length: +2\r\n\r\nok", Incomplete),
+        (
+            "length of superscripts",
+            _OK + b"Content-Length: \xb2\r\n\r\nok",
+            Incomplete,
+        ),
+        (
+            "length of 5,000 digits",
+            _OK + _ID + b"Content-Length: " + b"2" * 5000 + b"\r\n\r\nok",
+            Incomplete,
+        ),
+        (
+            "length of 400 digits",
+            _OK + _ID + b"Content-Length: " + b"2" * 400 + b"\r\n\r\nok",
+            Incomplete,
+        ),
         ("no length", _OK + _ID + b"\r\ncut or who", Incomplete),
         (
             "cut in a chunk",
