Believe no number of a message or the store beyond the next right one

Cause: as with the loads of servers, nothing said which values are credible or when a wrong one stops counting. The order of messages rests on numbers that only grow, so that the largest one wins for good.

Change: the fields of messages and records have ranges (core/statednumbers.py). A message number or a time far from the last one is not late: one of the two is wrong, and the newer counts. Arrivals at an absurd rate are no rate. A store that had not reached the revision that was known before it was asked shows that this one was wrong: its listing supersedes everything (Replica.forget_later). An instance that hears only of earlier revisions for 5 s asks for all records. An earlier era in three answers in a row is followed.

--- a/chiverun/core/catalog.py
+++ b/chiverun/core/catalog.py
@@ -6,6 +6,7 @@
 import bisect
 import dataclasses
 import enum
+from typing import Annotated
 from typing import NewType
 
 import msgspec
@@ -18,6 +19,10 @@
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
 from chiverun.core.ids import ZoneName
+from chiverun.core.statednumbers import CAPACITY
+from chiverun.core.statednumbers import COLD_LEFT_S
+from chiverun.core.statednumbers import SLOTS
+from chiverun.core.statednumbers import START_MS
 
 # Version number that operators assign to a desired state.
 StateVersion = NewType("StateVersion", int)
@@ -136,10 +141,10 @@
     service: ServiceName
     address: Address
     zone: ZoneName
-    slots: int
+    slots: Annotated[int, SLOTS.meta]
     state: ServerState
-    cold_left_s: float
-    started_ms: int
+    cold_left_s: Annotated[float, COLD_LEFT_S.meta]
+    started_ms: Annotated[int, START_MS.meta]
 
 
 class Machine(msgspec.Struct, frozen=True, kw_only=True, tag="machine"):
@@ -153,7 +158,7 @@
     entry: Address
     zone: ZoneName
     region: RegionName
-    capacity: float = 1.0
+    capacity: Annotated[float, CAPACITY.meta] = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -14,7 +14,15 @@
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
 from chiverun.core.replica import VersionedRecord
-from chiverun.core.revisions import Revision
+from chiverun.core.revisions import StatedRevision
+from chiverun.core.statednumbers import AGE_S
+from chiverun.core.statednumbers import ARRIVALS
+from chiverun.core.statednumbers import CLOCK_S
+from chiverun.core.statednumbers import DEMAND_PER_S
+from chiverun.core.statednumbers import IN_FLIGHT
+from chiverun.core.statednumbers import LAPSE_S
+from chiverun.core.statednumbers import LIMIT_PER_S
+from chiverun.core.statednumbers import MESSAGE_NUMBER
 from chiverun.core.suspects import EndedServer
 
 
@@ -50,10 +58,10 @@
 
     sender: InstanceId
     boot_id: BootId = msgspec.field(name="life")
-    since: Revision
-    as_of: Revision
+    since: StatedRevision
+    as_of: StatedRevision
     items: list[VersionedRecord]
-    lapse_left_s: float
+    lapse_left_s: Annotated[float, LAPSE_S.meta]
     live: list[InstanceId] | None = None
     from_listing: bool = False
     relayed: bool = False
@@ -63,20 +71,16 @@
     """Requests the records changed after `as_of`; 0 requests all."""
 
     reply_to: Address
-    as_of: Revision
+    as_of: StatedRevision
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True, tag="s"):
     """Every record as of a revision."""
 
-    as_of: Revision
+    as_of: StatedRevision
     items: list[VersionedRecord]
 
 
-# No limit or age is larger; infinity and NaN are no values either.
-REPORT_VALUE_MAX = 1e9
-
-
 class LimitReport(msgspec.Struct, frozen=True, kw_only=True):
     """What a server said of its limit, as heard by any instance.
 
@@ -86,8 +90,8 @@
 
     server: ServerName
     started_ms: int
-    per_s: Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)] | None
-    age_s: Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)]
+    per_s: Annotated[float, LIMIT_PER_S.meta] | None
+    age_s: Annotated[float, AGE_S.meta]
 
 
 class LimitReports(msgspec.Struct, frozen=True, kw_only=True, tag="l"):
@@ -118,7 +122,7 @@
 QUOTA_ROWS_MAX = 2000
 _COUNT_MAX = 10**9
 _Count = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
-_Amount = Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)]
+_Amount = Annotated[float, AGE_S.meta]
 
 
 class QuotaDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -192,8 +196,11 @@
 
 # A message names no more services, servers or regions.
 REPORT_ROWS_MAX = 4096
-Amount = Annotated[float, msgspec.Meta(ge=0, le=REPORT_VALUE_MAX)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Clock = Annotated[float, CLOCK_S.meta]
+Number = Annotated[int, MESSAGE_NUMBER.meta]
+Arrivals = Annotated[int, ARRIVALS.meta]
+Rate = Annotated[float, DEMAND_PER_S.meta]
+InFlight = Annotated[int, IN_FLIGHT.meta]
 _Offset = Annotated[float, msgspec.Meta(ge=-1, le=1)]
 
 
@@ -206,9 +213,9 @@
 
     sender: InstanceId
     boot_id: BootId = msgspec.field(name="life")
-    at_s: Amount
+    at_s: Clock
     arrivals: Annotated[
-        dict[ServiceName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+        dict[ServiceName, Arrivals], msgspec.Meta(max_length=REPORT_ROWS_MAX)
     ]
     wants_goals: bool = False
 
@@ -221,10 +228,10 @@
 
     sender: InstanceId
     boot_id: BootId = msgspec.field(name="life")
-    number: Count
+    number: Number
     region: RegionName
     per_s: Annotated[
-        dict[ServiceName, Amount], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+        dict[ServiceName, Rate], msgspec.Meta(max_length=REPORT_ROWS_MAX)
     ]
     is_relayed: bool = False
 
@@ -237,7 +244,7 @@
 
     sender: InstanceId
     boot_id: BootId = msgspec.field(name="life")
-    number: Count
+    number: Number
     offsets: Annotated[
         dict[ServiceName, dict[RegionName, _Offset]],
         msgspec.Meta(max_length=REPORT_ROWS_MAX),
@@ -253,10 +260,10 @@
 
     sender: InstanceId
     boot_id: BootId = msgspec.field(name="life")
-    number: Count
-    at_s: Amount
+    number: Number
+    at_s: Clock
     counts: Annotated[
-        dict[ServerName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+        dict[ServerName, InFlight], msgspec.Meta(max_length=REPORT_ROWS_MAX)
     ]
     is_complete: bool
 
@@ -266,10 +273,10 @@
 
     sender: InstanceId
     boot_id: BootId = msgspec.field(name="life")
-    number: Count
-    at_s: Amount
+    number: Number
+    at_s: Clock
     counts: Annotated[
-        dict[ServerName, Count], msgspec.Meta(max_length=REPORT_ROWS_MAX)
+        dict[ServerName, InFlight], msgspec.Meta(max_length=REPORT_ROWS_MAX)
     ]
     is_complete: bool
 
--- a/chiverun/core/loadtotals.py
+++ b/chiverun/core/loadtotals.py
@@ -8,6 +8,8 @@
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import ServerName
+from chiverun.core.statednumbers import is_later_message
+from chiverun.core.statednumbers import TRANSIT_S
 
 # Reports and totals that are older are not used.
 AGE_MAX_S = 1.0
@@ -40,10 +42,14 @@
         now : float
             Time by the own clock.
         """
+        offset_s = now - sent_at
+        if abs(offset_s - self._offset_s) > TRANSIT_S.high:
+            # This time or the one before is wrong; the newer one counts.
+            self._offset_s = math.inf
         drift_s = CLOCK_DRIFT * max(0.0, now - self._seen_at)
-        self._offset_s = min(self._offset_s + drift_s, now - sent_at)
+        self._offset_s = min(self._offset_s + drift_s, offset_s)
         self._seen_at = now
-        return now - sent_at - self._offset_s
+        return offset_s - self._offset_s
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -58,7 +64,7 @@
     def accepts(self, number: int, sent_at: float, now: float) -> bool:
         """Record a message; return whether it may be used."""
         age_s = self.age.of(sent_at, now)
-        if number <= self.number or age_s > AGE_MAX_S:
+        if not is_later_message(number, self.number) or age_s > AGE_MAX_S:
             return False
         self.number = number
         return True
--- a/chiverun/core/regiondemand.py
+++ b/chiverun/core/regiondemand.py
@@ -21,6 +21,8 @@
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ServiceName
 from chiverun.core.placement import places_before
+from chiverun.core.statednumbers import ARRIVALS_PER_S
+from chiverun.core.statednumbers import TRANSIT_S
 
 # Part of a region's keys that may change region per second because of demand.
 # Below the platform's bound, since few requests in a window vary by chance.
@@ -162,15 +164,9 @@
         rates: Rates = {}
         if not is_new:
             interval_s = report.at_s - row.report.at_s
-            if interval_s < INTERVAL_MIN_S:
+            if -TRANSIT_S.high < interval_s < INTERVAL_MIN_S:
                 return False
-            before = row.report.arrivals
-            # The count of a service that is new here is of all time.
-            rates = {
-                service: max(0, count - before[service]) / interval_s
-                for service, count in report.arrivals.items()
-                if service in before
-            }
+            rates = _rates_between(row.report, report, interval_s)
         self._rows[sender] = _Reporter(
             report=report, rates=rates, heard_at=now
         )
@@ -215,6 +211,28 @@
         }
 
 
+def _rates_between(
+    before: ArrivalReport, after: ArrivalReport, interval_s: float
+) -> Rates:
+    """Return the rates that are credible.
+
+    There are none if the times are not in order: one of them is wrong.
+    """
+    if interval_s <= 0:
+        return {}
+    # The count of a service that is new here is of all time.
+    rates = {
+        service: max(0, count - before.arrivals[service]) / interval_s
+        for service, count in after.arrivals.items()
+        if service in before.arrivals
+    }
+    return {
+        service: rate
+        for service, rate in rates.items()
+        if rate in ARRIVALS_PER_S
+    }
+
+
 def _smooth(rates: Rates, sums: Rates, constants: float) -> Rates:
     """Return rates smoothed over a number of time constants."""
     part = 1 - math.exp(-constants)
--- a/chiverun/core/replica.py
+++ b/chiverun/core/replica.py
@@ -18,6 +18,7 @@
 from chiverun.core.ids import ZoneName
 from chiverun.core.revisions import era_of
 from chiverun.core.revisions import Revision
+from chiverun.core.revisions import StatedRevision
 from chiverun.core.revisions import store_revision_of
 
 # Servers that are alive register again within 2 s after a store outage, in
@@ -49,7 +50,7 @@
     """A record at a revision of the store; None if it has been deleted."""
 
     key: str
-    revision: Revision
+    revision: StatedRevision
     record: (
         DesiredState | Server | Machine | Evacuation | Unreadable | None
     ) = None
@@ -210,6 +211,16 @@
         self.history_from = max(self.history_from, as_of)
         return changed
 
+    def forget_later(self, as_of: Revision) -> None:
+        """Let records as of `as_of` supersede all that names later ones."""
+        for row in self.rows.values():
+            if row.revision > as_of:
+                row.revision = row.content_revision = Revision(0)
+            if row.held is not None and row.held.revision > as_of:
+                row.held = None
+        self.as_of = min(self.as_of, as_of)
+        self.history_from = min(self.history_from, as_of)
+
     def _hold_back(
         self, items: list[VersionedRecord], now: float
     ) -> list[VersionedRecord]:
--- a/chiverun/core/revisions.py
+++ b/chiverun/core/revisions.py
@@ -5,8 +5,11 @@
 it has ever held.
 """
 
+from typing import Annotated
 from typing import NewType
 
+import msgspec
+
 # How often the store has been restored.
 Era = NewType("Era", int)
 # The store's own modification counter, which goes back with a restoration.
@@ -17,6 +20,9 @@
 _STORE_REVISION_BITS = 48
 STORE_REVISION_MAX = 2**_STORE_REVISION_BITS - 1
 ERA_MAX = 2**14 - 1
+_REVISION_MAX = (ERA_MAX << _STORE_REVISION_BITS) | STORE_REVISION_MAX
+# A revision in a message or a record.
+StatedRevision = Annotated[Revision, msgspec.Meta(ge=0, le=_REVISION_MAX)]
 
 
 def make_revision(era: Era, store_revision: StoreRevision) -> Revision:
--- a/chiverun/core/statednumbers.py
+++ b/chiverun/core/statednumbers.py
@@ -62,6 +62,13 @@
 KEEP_ALIVE_S = StatedNumber(high=86_400, unit="s")
 
 
+# Of a record. Requests go to servers by their slots, so that one with more
+# than any server has would draw them all.
+SLOTS = StatedNumber(low=1, high=100_000, unit="slots")
+COLD_LEFT_S = StatedNumber(high=1_000_000, unit="s")
+START_MS = StatedNumber(high=2**63 - 1, unit="ms")
+CAPACITY = StatedNumber(low=1e-6, high=1_000_000, unit="cores")
+
 # Of another instance.
 AGE_S = StatedNumber(high=1e9, unit="s")
 IN_FLIGHT = StatedNumber(high=100_000, unit="requests")
@@ -69,7 +76,9 @@
 ARRIVALS_PER_S = StatedNumber(high=20_000, unit="requests a second")
 DEMAND_PER_S = StatedNumber(high=1_000_000, unit="requests a second")
 LAPSE_S = StatedNumber(high=60, unit="s")
-CAPACITY = StatedNumber(low=1e-6, high=1_000_000, unit="cores")
+CLOCK_S = StatedNumber(high=1e9, unit="s")
+# A message is in transit for less, or its time is wrong.
+TRANSIT_S = StatedNumber(high=60, unit="s")
 MESSAGE_NUMBER = StatedNumber(high=2**53, unit="")
 # A number this far below the last one does not belong to a late message: one
 # of the two is wrong, and the newer one counts.
--- a/chiverun/platform/records.py
+++ b/chiverun/platform/records.py
@@ -15,6 +15,7 @@
 from chiverun.core.replica import Evacuation
 from chiverun.core.replica import Record
 from chiverun.core.replica import Unreadable
+from chiverun.core.statednumbers import SLOTS
 from chiverun.platform import values
 from chiverun.platform.statecodec import decode_state
 
@@ -24,9 +25,6 @@
 MACHINE_PREFIX = "chiverun/machines/"
 # Length of the reason that is logged, since it quotes the record.
 REASON_LENGTH_MAX = 300
-# Requests go to servers by their slots, so that one record with more than any
-# server has would draw them all.
-SLOTS_MAX = 100_000
 # Keys outside these prefixes are ignored.
 PREFIXES = ("op/", SERVER_PREFIX, MACHINE_PREFIX)
 
@@ -66,11 +64,6 @@
         )
     values.parse_address(machine.peer, "peer")
     values.parse_address(machine.entry, "entry")
-    if not 0 < machine.capacity <= values.NUMBER_MAX:
-        raise values.InvalidValueError(
-            f"capacity: {machine.capacity!r} is not above 0 and up to "
-            f"{values.NUMBER_MAX:g}"
-        )
     return machine
 
 
@@ -94,7 +87,9 @@
         service=ServiceName(values.field(body, "service", str)),
         address=values.address(body, "address"),
         zone=ZoneName(values.field(body, "zone", str)),
-        slots=values.integer(body, "slots", minimum=1, maximum=SLOTS_MAX),
+        slots=values.integer(
+            body, "slots", minimum=SLOTS.low, maximum=SLOTS.high
+        ),
         state=ServerState(state),
         # Remaining cold time when the upstream wrote the entry.
         cold_left_s=values.duration_s(body, "coldLeft"),
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -15,6 +15,7 @@
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ZoneName
+from chiverun.core.statednumbers import CAPACITY
 from chiverun.platform import values
 
 PATH_VARIABLE = "CHIVERUN_CONFIG"
@@ -22,6 +23,7 @@
 SHARE_LOADS_VARIABLE = "CHIVERUN_SHARE_LOADS"
 # Link that a machine with one core needs to be limited by its core alone.
 LINK_MBPS_PER_CORE = 100.0
+_CAPACITY_MIN = 0.001
 
 # Maps the platform's names of bounds to fields of `EdgeBounds`. The values of
 # durations have a unit.
@@ -175,7 +177,9 @@
     )
     link = _decode_number(limits, "linkMbps") / LINK_MBPS_PER_CORE
     known = [value for value in (cores, link) if value > 0]
-    return round(min(known), 3) if known else 1.0
+    if not known:
+        return 1.0
+    return min(CAPACITY.high, max(_CAPACITY_MIN, round(min(known), 3)))
 
 
 def _decode_number(body: dict, name: str) -> float:
--- a/chiverun/platform/store.py
+++ b/chiverun/platform/store.py
@@ -51,6 +51,8 @@
 # Header that counts how often the store was restored from an older copy, after
 # which its revisions go back.
 _ERA = "store-era"
+# Answers in a row with an earlier era after which it is followed.
+EARLIER_ERAS_MAX = 3
 _ERA_RANGE = StatedNumber(high=ERA_MAX, unit="")
 # Far above a page of a listing, which has about 1 MB. Changes that take more
 # are read as a listing.
@@ -85,6 +87,8 @@
         self._connection: ClientConnection | None = None
         self._timeout_s = CALL_TIMEOUT_S
         self._era = Era(0)
+        # Answers in a row that named an earlier era.
+        self._earlier_eras = 0
 
     async def read_all(self) -> Changes:
         """Return all records.
@@ -229,19 +233,28 @@
         return end
 
     def _follow_era(self, answer: Answered, path: str) -> None:
-        """Take the era from an answer; only later ones are followed."""
+        """Take the era from an answer; only later ones are followed.
+
+        An earlier one in several answers in a row shows that the era that is
+        known was a wrong one.
+        """
         headers = {name.lower(): value for name, value in answer.headers}
         era = _parse_era(headers.get(_ERA), self._era)
-        if era is None or era < self._era:
+        if era is not None and era < self._era:
+            self._earlier_eras += 1
+        else:
+            self._earlier_eras = 0
+        if era is None or 0 < self._earlier_eras < EARLIER_ERAS_MAX:
             raise CatalogUnavailable(
-                f"{path}: {_ERA}: {headers[_ERA]!r} is not valid; expected "
-                f"a whole number from {self._era} to {ERA_MAX}"
+                f"{path}: {_ERA}: {headers[_ERA][:80]!r} is not valid; "
+                f"expected a whole number from {self._era} to {ERA_MAX}"
             )
         if era != self._era:
             _LOG.info(
                 "store era changed", extra={"era": era, "before": self._era}
             )
             self._era = era
+            self._earlier_eras = 0
 
     async def _get_connection(self) -> ClientConnection:
         if self._connection is None or not self._connection.reusable:
--- a/chiverun/runtime/demandexchange.py
+++ b/chiverun/runtime/demandexchange.py
@@ -19,7 +19,6 @@
 from chiverun.core.edgemessages import DemandMessage
 from chiverun.core.edgemessages import DemandReport
 from chiverun.core.edgemessages import RegionDemand
-from chiverun.core.edgemessages import REPORT_VALUE_MAX
 from chiverun.core.edgemessages import ShareGoals
 from chiverun.core.ids import BootId
 from chiverun.core.ids import InstanceId
@@ -37,6 +36,9 @@
 from chiverun.core.regiondemand import ShareOffsets
 from chiverun.core.regiondemand import STARTING_S
 from chiverun.core.sharegoals import ShareSolver
+from chiverun.core.statednumbers import CLOCK_S
+from chiverun.core.statednumbers import DEMAND_PER_S
+from chiverun.core.statednumbers import is_later_message
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.runtime.servertable import ServerTable
 
@@ -189,7 +191,7 @@
             DemandReport(
                 sender=self._me.name,
                 boot_id=self._boot_id,
-                at_s=min(REPORT_VALUE_MAX, report.at_s),
+                at_s=min(CLOCK_S.high, report.at_s),
                 arrivals=dict(report.arrivals),
                 wants_goals=wants_goals,
             )
@@ -266,7 +268,7 @@
                 region=self._me.region,
                 per_s={
                     service: min(
-                        REPORT_VALUE_MAX,
+                        DEMAND_PER_S.high,
                         round(rates.get(service, 0.0), 2),
                     )
                     for service in services
@@ -307,7 +309,8 @@
     def _is_next(self, message: RegionDemand) -> bool:
         """Return whether a message is later than those of its sender."""
         process = (message.sender, message.boot_id)
-        if message.number <= self._region_numbers.get(process, -1):
+        last = self._region_numbers.get(process, -1)
+        if not is_later_message(message.number, last):
             return False
         self._region_numbers = {
             key: number
@@ -353,7 +356,7 @@
         previous = self._goals_from
         process = (message.sender, message.boot_id)
         is_same = previous is not None and previous[:2] == process
-        if is_same and message.number <= previous[2]:
+        if is_same and not is_later_message(message.number, previous[2]):
             return
         self._goals_from = (*process, message.number)
         self._goals = message.offsets
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -67,6 +67,8 @@
 # A shorter gap between reads is not an outage in which records can expire: a
 # store without changes is read every 1.2 s.
 OUTAGE_MIN_S = 2.5
+# News of the store reaches all instances sooner.
+AHEAD_MAX_S = 5.0
 _CHECK_PERIOD_S = 0.1
 
 
@@ -116,6 +118,8 @@
         self._read_at = self._loop.time()
         self._is_loss_logged = False
         self._lapse_until = float("-inf")
+        # Since when all updates have been behind the known revision.
+        self._ahead_since: float | None = None
         self._live_list_sent_at = float("-inf")
         # Whether this machine reads the store for its region, and whether it
         # reads it at all; a relay that is no reader serves its zone only.
@@ -192,16 +196,17 @@
         return not is_registered and not self.heartbeats.leaving
 
     async def _read(self) -> None:
+        since = self.replica.as_of
         if self._needs_full_read:
             changes = await self._store.read_all()
             self._record_success()
             self._needs_full_read = False
+            if changes.as_of < since:
+                self._forget_later(changes.as_of, since)
             self._apply_listing(changes.items, changes.as_of, "store")
         else:
             try:
-                changes = await self._store.changes_since(
-                    self.replica.as_of, WATCH_WAIT_S
-                )
+                changes = await self._store.changes_since(since, WATCH_WAIT_S)
             except HistoryCompacted:
                 _LOG.warning(
                     "store history has expired; reading the full catalog",
@@ -210,9 +215,29 @@
                 self._needs_full_read = True
                 raise
             self._record_success()
+            # A revision that the store has not reached; see `_forget_later`.
+            self._needs_full_read = changes.as_of < since
             self._apply_changes(changes)
         await self._register()
 
+    def _forget_later(self, as_of: Revision, known: Revision) -> None:
+        """Let a listing replace what names revisions beyond it.
+
+        The store had not reached a revision that was known here before it was
+        asked. A message or an answer has named a wrong one, and no change of
+        the store would supersede it.
+        """
+        _LOG.warning(
+            "known revision is beyond the store's",
+            extra={
+                "era": era_of(as_of),
+                "as_of": store_revision_of(as_of),
+                "known_era": era_of(known),
+                "known_as_of": store_revision_of(known),
+            },
+        )
+        self.replica.forget_later(as_of)
+
     async def _register(self) -> None:
         """Write this machine's record unless it is already up to date."""
         own_rows = [
@@ -376,21 +401,43 @@
             case LoadReport() | RegionLoads():
                 self._on_loads(message)
             case Snapshot():
-                if message.as_of > self.replica.as_of:
-                    self._apply_listing(message.items, message.as_of, "peer")
-                    self._needs_full_read = False
+                self._handle_snapshot(message)
+
+    def _handle_snapshot(self, snapshot: Snapshot) -> None:
+        known = self.replica.as_of
+        if snapshot.as_of < known and self._is_ahead(self._loop.time()):
+            self._forget_later(snapshot.as_of, known)
+        elif snapshot.as_of <= known:
+            return
+        self._ahead_since = None
+        self._apply_listing(snapshot.items, snapshot.as_of, "peer")
+        self._needs_full_read = False
+
+    def _is_ahead(self, now: float) -> bool:
+        """Return whether nobody has reached the known revision for long.
+
+        It is a wrong one then: what one instance knows, all know soon.
+        """
+        since = self._ahead_since
+        return since is not None and now - since > AHEAD_MAX_S
 
     def _handle_update(self, update: Update) -> None:
         now = self._loop.time()
         if not update.relayed and self.table.passes_on(update.sender, now):
             self._pass_on(update)
+        if update.as_of >= self.replica.as_of:
+            self._ahead_since = None
+        elif self._ahead_since is None:
+            self._ahead_since = now
+        if self._is_ahead(now):
+            self._pull_from(update.sender, Revision(0))
         if era_of(update.as_of) < era_of(self.replica.as_of):
             # The sender has not heard of the restoration yet.
             changed = self.replica.apply(update.items, now=now)
             self._publish_changes(changed, f"peer {update.sender}")
             return
         if _is_incomplete(update, self.replica.as_of):
-            self._pull_from(update.sender)
+            self._pull_from(update.sender, self.replica.as_of)
             return
         self.table.relay_heard_at = now
         if update.live is not None:
@@ -407,8 +454,8 @@
             self._needs_full_read = False
         self._publish_changes(changed, f"peer {update.sender}")
 
-    def _pull_from(self, sender: InstanceId) -> None:
-        """Ask for missed changes in the own zone, or their sender."""
+    def _pull_from(self, sender: InstanceId, as_of: Revision) -> None:
+        """Ask for changes after `as_of` in the own zone, or their sender."""
         now = self._loop.time()
         hubs = self.table.zone_hubs(now)
         machine = self.table.machine(sender)
@@ -418,9 +465,7 @@
         if machine is not None:
             self._peers.send(
                 machine.peer,
-                edgemessages.encode(
-                    Pull(reply_to=self._me.peer, as_of=self.replica.as_of)
-                ),
+                edgemessages.encode(Pull(reply_to=self._me.peer, as_of=as_of)),
             )
 
     def _handle_pull(self, pull: Pull) -> None:
--- a/chiverun/runtime/limitexchange.py
+++ b/chiverun/runtime/limitexchange.py
@@ -13,10 +13,10 @@
 from chiverun.core.catalog import Server
 from chiverun.core.edgemessages import LimitReport
 from chiverun.core.edgemessages import LimitReports
-from chiverun.core.edgemessages import REPORT_VALUE_MAX
 from chiverun.core.ids import ServerName
 from chiverun.core.peertable import PeerTable
 from chiverun.core.serverlimit import LimitNews
+from chiverun.core.statednumbers import LIMIT_PER_S
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.runtime.servertable import ServerTable
 
@@ -99,7 +99,7 @@
 def _report(server: Server, news: LimitNews) -> LimitReport:
     per_s = news.per_s
     if per_s is not None:
-        per_s = min(REPORT_VALUE_MAX, per_s)
+        per_s = min(LIMIT_PER_S.high, per_s)
     return LimitReport(
         server=server.name,
         started_ms=server.started_ms,
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -10,10 +10,13 @@
 
 from chiverun.core.catalog import Machine
 from chiverun.core.revisions import Era
+from chiverun.core.revisions import ERA_MAX
+from chiverun.core.revisions import era_of
 from chiverun.core.revisions import make_revision
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import HistoryCompacted
 from chiverun.platform import store as store_module
+from chiverun.platform.store import EARLIER_ERAS_MAX
 from chiverun.platform.store import PlatformStore
 from standins.metastore import Faults
 from standins.metastore import MetaStore
@@ -110,6 +113,18 @@
         self.standin.era = 1
         await self.store.read_all()
 
+    async def test_wrong_era_ends_with_the_next_right_ones(self) -> None:
+        """Guards against one wrong era after which no answer counts."""
+        await self.store.read_all()
+        self.standin.era = ERA_MAX
+        await self.store.read_all()
+        self.standin.era = 1
+        for _ in range(EARLIER_ERAS_MAX - 1):
+            with self.assertRaises(CatalogUnavailable):
+                await self.store.read_all()
+        changes = await self.store.read_all()
+        self.assertEqual(1, era_of(changes.as_of))
+
     async def test_store_failure_is_not_an_empty_list(self) -> None:
         """Guards against treating a failing store as an empty one."""
         for faults in (
--- a/tests/core/test_loadtotals.py
+++ b/tests/core/test_loadtotals.py
@@ -57,6 +57,16 @@
         self.totals.record(late, 0.1)
         self.assertEqual({"s": 2}, self._totals(0.1))
 
+    @params((2**53, 500.2), (2, 1e9), (2, 0.0), (2**53, 1e9))
+    def test_wrong_message_does_not_mute_its_sender(self, number, sent_at):
+        """Guards against a number after which all later ones seem old."""
+        self.totals.record(_counts({"s": 2}, number=1, sent_at=500.0), 0.0)
+        wrong = _counts({"s": 9}, number=number, sent_at=sent_at)
+        self.totals.record(wrong, 0.2)
+        sound = _counts({"s": 3}, number=3, sent_at=500.4)
+        self.totals.record(sound, 0.4)
+        self.assertEqual({"s": 3}, self._totals(0.4))
+
     def test_restarted_instance_starts_over(self):
         """Guards against a new process whose numbers are lower."""
         self.totals.record(_counts({"s": 2}, number=50), 0.0)
--- a/tests/core/test_regiondemand.py
+++ b/tests/core/test_regiondemand.py
@@ -285,6 +285,19 @@
         self.rates.update(2.1, 2.0)
         self.assertAlmostEqual(100.0, self.rates.expected()["s"])
 
+    @params((2.0, 2**53), (2.0, 0), (1e9, 200), (0.0, 200))
+    def test_wrong_report_counts_for_itself_only(self, at_s, count):
+        """Guards against a rate that outlasts the next right report."""
+        self._record(100.0, 0)
+        self._record(101.0, 100)
+        self.rates.update(101.0, 1.0)
+        self._record(100.0 + at_s, count, now=102.0)
+        self.rates.update(102.0, 1.0)
+        for second in range(3, 30):
+            self._record(100.0 + second, 100 * second)
+            self.rates.update(100.0 + second, 1.0)
+        self.assertAlmostEqual(100.0, self.rates.expected()["s"], delta=5.0)
+
     def test_restarted_instance_is_new(self):
         """Guards against a rate from the counts of two processes."""
         self.assertTrue(self._record(0.0, 500))
