Cut off instances that send parts of a message without end

Cause: ZeroMQ bounds the size of a part and the number of messages, but it keeps the parts of an incomplete message without a limit.

Change: integrations/acceptedpeers.py compares what the kernel has received on each accepted connection with what messages have delivered, and cuts a connection off at 16 MiB between the two.

Evidence: tests.integrations.test_peers, 'parts without end' fails before.

--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -11,6 +11,7 @@
 from chiverun.core.errors import ChiverunError
 from chiverun.core.errors import ResultCode
 from chiverun.core.ids import Address
+from chiverun.integrations.acceptedpeers import AcceptedPeers
 from chiverun.integrations.network import AddressMap
 
 _LOG = logbook.Logger("peers")
@@ -30,7 +31,9 @@
 _CONNECTIONS_MAX = 512
 _RECEIVED_AT_ONCE_MAX = 256
 _IDLE_TIMEOUT_S = 60.0
-_POLL_MS = 500
+_POLL_MS = 250
+# Interval between checks for connections that bring no messages.
+_CHECK_PERIOD_S = 0.2
 
 
 class ZmqPeers:
@@ -57,6 +60,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_dropped = 0
+        self._check_at = 0.0
         # Unexpected errors on the thread.
         self.failures = 0
 
@@ -79,6 +83,7 @@
                 ResultCode.PORT_IN_USE,
                 f"cannot listen on {self._bind}: {exc}",
             ) from exc
+        self._accepted = AcceptedPeers(router=self._router)
         self._wake_receiver = self._context.socket(zmq.PAIR)
         self._wake_receiver.bind("inproc://wake")
         self._wake_sender = self._context.socket(zmq.PAIR)
@@ -123,6 +128,7 @@
         poller = zmq.Poller()
         poller.register(self._router, zmq.POLLIN)
         poller.register(self._wake_receiver, zmq.POLLIN)
+        poller.register(self._accepted.monitor, zmq.POLLIN)
         while not self._stopping.is_set():
             try:
                 self._run_once(poller)
@@ -137,21 +143,32 @@
         ready = dict(poller.poll(_POLL_MS))
         if self._wake_receiver in ready:
             _drain(self._wake_receiver)
+        if self._accepted.monitor in ready:
+            self._accepted.note_events()
         if self._router in ready:
             self._receive_messages()
         self._send_queued()
         self._close_idle()
+        self._check_accepted()
+
+    def _check_accepted(self) -> None:
+        now = time.monotonic()
+        if now >= self._check_at:
+            self._check_at = now + _CHECK_PERIOD_S
+            self._accepted.check()
 
     def _receive_messages(self) -> None:
         # Messages to send wait meanwhile.
         for _ in range(_RECEIVED_AT_ONCE_MAX):
             try:
-                parts = self._router.recv_multipart(zmq.NOBLOCK)
+                parts = self._router.recv_multipart(zmq.NOBLOCK, copy=False)
             except zmq.ZMQError:
                 return
+            for part in parts[1:]:
+                self._accepted.note_message(part)
             if len(parts) == 2:
                 self.bytes_received += len(parts[1])
-                self._receive(parts[1])
+                self._receive(parts[1].bytes)
 
     def _send_queued(self) -> None:
         while True:
@@ -202,6 +219,7 @@
     def _close_sockets(self) -> None:
         for dealer, _ in self._dealers.values():
             dealer.close()
+        self._accepted.close()
         self._router.close()
         self._wake_receiver.close()
         self._wake_sender.close()
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -7,8 +7,10 @@
 
 from chiverun.core.errors import ChiverunError
 from chiverun.integrations import peers as peers_module
+from chiverun.integrations.acceptedpeers import UNDELIVERED_BYTES_MAX
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.peers import ZmqPeers
+from tests.integrations import zmtp
 
 
 def _address() -> str:
@@ -53,6 +55,57 @@
         self._wait_for_messages(2)
         self.assertEqual([b"early", b"late"], self._received)
 
+    def test_parts_without_end_are_cut_off(self) -> None:
+        """Guards against a message whose parts fill the memory.
+
+        Another peer's message arrives meanwhile.
+        """
+        self.receiver.start(self._receive)
+        host, port = self._peer_address.split(":")
+        with socket.create_connection((host, int(port)), 5.0) as conn:
+            conn.sendall(zmtp.GREETING + zmtp.READY)
+            sent = 0
+            with self.assertRaises(OSError):
+                while sent < 8 * UNDELIVERED_BYTES_MAX:
+                    conn.sendall(zmtp.part(bytes(1024 * 1024)))
+                    sent += 1024 * 1024
+                    time.sleep(0.01)
+        self.sender.send(self._peer_address, b"small")
+        self._wait_for_messages(1)
+        self.assertEqual([b"small"], self._received)
+        self.assertEqual(0, self.receiver.failures)
+
+    def test_messages_of_an_ordinary_peer_are_all_counted(self) -> None:
+        """Guards against a peer that is cut off after many messages."""
+        self.receiver.start(self._receive)
+        sizes = [0, 1, 255, 256, 300, 70_000]
+        for turn in range(1, 201):
+            for size in sizes:
+                self.sender.send(self._peer_address, bytes(size))
+            self._wait_for_messages(turn * len(sizes))
+        rows = list(self.receiver._accepted._connections.values())
+        self.assertEqual(1, len(rows))
+        self.assertLess(rows[0].undelivered(), 256)
+
+    def test_bytes_that_are_no_message(self) -> None:
+        """Guards against an error for each piece of another protocol."""
+        self.receiver.start(self._receive)
+        host, port = self._peer_address.split(":")
+        for data in (b"x", b"\x00", b"\xff", b"\x01x", zmtp.GREETING):
+            with socket.create_connection((host, int(port)), 5.0) as conn:
+                try:
+                    for _ in range(100):
+                        conn.sendall(data * 65_536)
+                except OSError:
+                    continue
+        self.sender.send(self._peer_address, b"small")
+        with self._received_changed:
+            arrived = self._received_changed.wait_for(
+                lambda: b"small" in self._received, timeout=5
+            )
+        self.assertTrue(arrived)
+        self.assertEqual(0, self.receiver.failures)
+
     def test_oversized_message_does_not_arrive(self) -> None:
         """Guards against a peer that exhausts this process's memory."""
         self.receiver.start(self._receive)
