Try endless bytes on the paths that had not been tried

Servers of several services at once, a server that many instances call, answers to health checks of cold servers, and messages of other instances, each against edge instances with 100 MiB (tests.adapter.test_edge_endless). Answers hold: peak 73 MiB, each instance lives and serves afterwards.

Messages of other instances took up to 212 MiB: parts of a few bytes take many times their bytes, and a connection was checked each 0.25 s at a limit of 16 MiB. Now it is checked each 0.1 s, and each 10 ms while much waits, at a limit of 3 MiB: peak 79 MiB.

--- a/chiverun/integrations/acceptedpeers.py
+++ b/chiverun/integrations/acceptedpeers.py
@@ -15,9 +15,13 @@
 
 _LOG = logbook.Logger("peers")
 
-# Received bytes of a connection that no message has delivered yet. Some
-# messages of the largest size wait here and in the socket's buffer.
-UNDELIVERED_BYTES_MAX = 16 * 1024 * 1024
+# Received bytes of a connection that no message has delivered yet: more than
+# a message of the largest size. Short parts take many times their bytes.
+UNDELIVERED_BYTES_MAX = 3 * 1024 * 1024
+# Interval between two checks, and while one of the connections has this much.
+CHECK_PERIOD_S = 0.1
+_SUSPICIOUS_BYTES = 256 * 1024
+_SUSPICIOUS_PERIOD_S = 0.01
 # Header of a frame on the wire (ZMTP 3.1), for a short and for a long one.
 _SHORT_FRAME_BYTES_MAX = 255
 _SHORT_HEADER_BYTES = 2
@@ -75,8 +79,12 @@
         if conn is not None:
             conn.delivered += len(frame) + _header_bytes(len(frame))
 
-    def check(self) -> None:
-        """Cut off connections that bring bytes without a message."""
+    def check(self) -> float:
+        """Cut off connections that bring bytes without a message.
+
+        Return the time until the next check, in seconds.
+        """
+        period_s = CHECK_PERIOD_S
         for descriptor, conn in list(self._connections.items()):
             try:
                 undelivered = conn.undelivered()
@@ -84,6 +92,8 @@
                 # The system does not tell.
                 self._forget(descriptor)
                 continue
+            if undelivered > _SUSPICIOUS_BYTES:
+                period_s = _SUSPICIOUS_PERIOD_S
             if undelivered <= UNDELIVERED_BYTES_MAX:
                 continue
             self.cut_off += 1
@@ -100,6 +110,7 @@
             except OSError:
                 pass
             self._forget(descriptor)
+        return period_s
 
     def close(self) -> None:
         """Forget all connections."""
--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -31,9 +31,6 @@
 _CONNECTIONS_MAX = 512
 _RECEIVED_AT_ONCE_MAX = 256
 _IDLE_TIMEOUT_S = 60.0
-_POLL_MS = 250
-# Interval between checks for connections that bring no messages.
-_CHECK_PERIOD_S = 0.2
 
 
 class ZmqPeers:
@@ -140,7 +137,8 @@
         self._close_sockets()
 
     def _run_once(self, poller: zmq.Poller) -> None:
-        ready = dict(poller.poll(_POLL_MS))
+        left_s = max(0.0, self._check_at - time.monotonic())
+        ready = dict(poller.poll(1 + int(1000 * left_s)))
         if self._wake_receiver in ready:
             _drain(self._wake_receiver)
         if self._accepted.monitor in ready:
@@ -154,8 +152,7 @@
     def _check_accepted(self) -> None:
         now = time.monotonic()
         if now >= self._check_at:
-            self._check_at = now + _CHECK_PERIOD_S
-            self._accepted.check()
+            self._check_at = now + self._accepted.check()
 
     def _receive_messages(self) -> None:
         # Messages to send wait meanwhile.
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -16,7 +16,8 @@
 class UpstreamFaults:
     """Faults of responses.
 
-    `answer` replaces the raw bytes of a response; `reset` closes the
+    `answer` replaces the raw bytes of a response, and `health_answer` those of
+    one to a health check; `reset` closes the
     connection without a response; `shed` rejects requests as not run;
     `extra` sends an unsolicited second response after each response. `limit`
     is the rate that the server names in each response. `cold_ms` is the cold
@@ -31,6 +32,7 @@
     answer: bytes | None = None
     # Bytes that follow the answer again and again until the caller closes.
     endless: bytes | None = None
+    health_answer: bytes | None = None
     # The response is sent once more after this time.
     copy_after_s: float | None = None
     reset: bool = False
@@ -137,6 +139,10 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         if request_line.split(" ")[1] == HEALTH_PATH:
             self.health_checks += 1
+            if self.faults.health_answer is not None:
+                writer.write(self.faults.health_answer)
+                await self._send_endless(writer, self.faults)
+                return False
             writer.write(self._health_response())
             return True
         request_id = headers.get("x-chiverun-request-id", "")
