Pass on no status that promises that a request has not run

Cause: only X-Chiverun-Not-Run proves that a request has not run, but statuses below 500, and 503, were passed on as they came.

Change: without the proof such an answer counts as none: 502, or a further send where the route allows one.

--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -61,6 +61,8 @@
 # latency and at least this fraction of the route's latency objective.
 HEDGE_LATENCY_FACTOR = 3.0
 HEDGE_OBJECTIVE_FRACTION = 0.9
+# Statuses that promise a caller that its request has not run and will not.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Sends per request, including those that did not run.
 SENDS_MAX = 4
 
@@ -356,6 +358,9 @@
     def _handle_answer(
         self, request: Request, send: Send, answer: Answered
     ) -> OutgoingResponse | None:
+        if answer.status in NOT_RUN_STATUSES:
+            # The server does not say that the request has not run.
+            return None
         if answer.status < 500:
             if answer.status < 300:
                 self._record_latency(request, send)
--- a/tests/adapter/test_edge_refusals.py
+++ b/tests/adapter/test_edge_refusals.py
@@ -43,3 +43,20 @@
                 runs = self._run_count(f"{method}-2")
                 self.assertIn(runs, range(1, runs_max + 1))
                 self.assertNotIn(second, _NOT_RUN)
+
+    async def test_status_of_a_server_that_has_run_promises_nothing(
+        self,
+    ) -> None:
+        """Guards against "not run" for what has run.
+
+        A server that does not say that it has not run a request may have.
+        """
+        await self._start_until_ready()
+        for status in (408, 429, 503):
+            self._set_faults(status=status)
+            for method, path in (("POST", "/book/1"), ("GET", "/read/1")):
+                with self.subTest(f"{method}, {status}"):
+                    name = f"{method}-{status}"
+                    answer = await self._call(name, method, path)
+                    self.assertEqual(502, answer)
+                    self.assertGreater(self._run_count(name), 0)
