--- a/chiverun/integrations/acceptedpeers.py
+++ b/chiverun/integrations/acceptedpeers.py
@@ -117,6 +117,8 @@
         for descriptor in list(self._connections):
             self._forget(descriptor)
         self._router.disable_monitor()
+        # The context does not end while a socket is open.
+        self.monitor.close(linger=0)
 
     def _add(self, descriptor: int) -> None:
         try:
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -55,6 +55,15 @@
         self._wait_for_messages(2)
         self.assertEqual([b"early", b"late"], self._received)
 
+    def test_stop_does_not_wait(self) -> None:
+        """Guards against a stop that waits for a socket left open."""
+        self.receiver.start(self._receive)
+        self.sender.send(self._peer_address, b"small")
+        self._wait_for_messages(1)
+        began_at = time.monotonic()
+        self.receiver.stop()
+        self.assertLess(time.monotonic() - began_at, 1.0)
+
     def test_parts_without_end_are_cut_off(self) -> None:
         """Guards against a message whose parts fill the memory.
 
