--- a/chiverun/core/statednumbers.py
+++ b/chiverun/core/statednumbers.py
@@ -53,8 +53,9 @@
 # Of a server. Requests that run or wait at it; see `is_credible_load`.
 LOAD_COUNT = StatedNumber(high=1_000_000, unit="requests", valid_s=5.0)
 SLOWDOWN_PERCENT = StatedNumber(low=1, high=100_000, unit="percent")
-# A longer cold time is cut; see `cold_limit_s`.
-COLD_MS = StatedNumber(high=10**_DIGITS_MAX, unit="ms")
+# It is believed for `cold_limit_s` at a time: a server that is taken for warm
+# too early may end.
+COLD_MS = StatedNumber(high=3_600_000, unit="ms")
 LIMIT_PER_S = StatedNumber(
     high=1_000_000, unit="requests a second", valid_s=60.0
 )
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -44,7 +44,7 @@
 _REGIONS = {"z": "r", "z2": "r2"}
 _REMOTE = msgspec.structs.replace(make_machine("m7"), zone="z2", region="r2")
 _ITEM = VersionedRecord(key="servers/a", revision=3, record=make_server("a"))
-_MESSAGES = (
+PEER_MESSAGES = (
     edgemessages.LimitReports(
         sender="m1",
         reports=[
@@ -263,7 +263,7 @@
 
     async def test_fields(self):
         """Guards against one field that ends the follower."""
-        for message in _MESSAGES:
+        for message in PEER_MESSAGES:
             with self.subTest(type(message).__name__):
                 self._check_fields(message)
 
@@ -283,7 +283,7 @@
 
     async def test_cut_and_changed_bytes(self):
         """Guards against a damaged message."""
-        for message in _MESSAGES:
+        for message in PEER_MESSAGES:
             with self.subTest(type(message).__name__):
                 self._check_damaged(message)
 
