--- a/chiverun/core/placement.py
+++ b/chiverun/core/placement.py
@@ -21,11 +21,20 @@
 from chiverun.core.ids import ZoneName
 
 _HASH_RANGE = float(1 << 64)
+# Callers choose keys; the caches hold thousands of them.
+KEY_LENGTH_MAX = 128
 
 # A region, or a zone within a region.
 Place = TypeVar("Place", RegionName, ZoneName)
 
 
+def bounded_key(key: str) -> str:
+    """Return a key, or a digest in place of a long one."""
+    if len(key) <= KEY_LENGTH_MAX:
+        return key
+    return xxhash.xxh3_128_hexdigest(key.encode())
+
+
 @functools.lru_cache(maxsize=65536)
 def hash_fraction(text: str) -> float:
     """Return a uniform hash of a text in [0, 1)."""
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -18,6 +18,7 @@
 from chiverun.core.ids import ServerName
 from chiverun.core.ids import ServiceName
 from chiverun.core.ids import ZoneName
+from chiverun.core.placement import bounded_key
 from chiverun.core.placement import choose_place
 from chiverun.core.placement import rendezvous
 from chiverun.core.placement import zone_first
@@ -440,7 +441,7 @@
     key = affinity_key if affinity_key and route.sticky else request_id
     return Placement(
         service=service,
-        key=f"{route.host}{route.prefix}\0{key}",
+        key=bounded_key(f"{route.host}{route.prefix}\0{key}"),
         permitted_regions=permitted,
         typical_s=typical_s,
         run_s=run_s,
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -8,8 +8,10 @@
 from nose2.tools import params
 
 from chiverun.core.catalog import Server
+from chiverun.core.placement import bounded_key
 from chiverun.core.placement import choose_place
 from chiverun.core.placement import fair_shares
+from chiverun.core.placement import KEY_LENGTH_MAX
 from chiverun.core.placement import rendezvous
 from tests.records import make_server
 
@@ -96,3 +98,13 @@
         self.assertEqual(
             rendezvous("k", servers), rendezvous("k", servers[::-1])
         )
+
+
+class BoundedKeyTest(unittest.TestCase):
+    def test_long_keys_are_short_and_stay_apart(self):
+        """Guards against callers' keys that fill the caches."""
+        short = "k" * KEY_LENGTH_MAX
+        self.assertEqual(short, bounded_key(short))
+        keys = {bounded_key("k" * 15_000 + str(i)) for i in range(1000)}
+        self.assertEqual(1000, len(keys))
+        self.assertLessEqual(max(map(len, keys)), KEY_LENGTH_MAX)
--- a/tests/runtime/test_selection.py
+++ b/tests/runtime/test_selection.py
@@ -8,6 +8,7 @@
 from chiverun.core.catalog import Route
 from chiverun.core.catalog import ServiceSpec
 from chiverun.core.edgesettings import EdgeBounds
+from chiverun.core.placement import KEY_LENGTH_MAX
 from chiverun.runtime.selection import make_placement
 from chiverun.runtime.selection import Overloaded
 from chiverun.runtime.selection import Selector
@@ -93,6 +94,14 @@
     return make_placement(ROUTE, "mill", ROUTE.homes, key, "id", 0.1, 0.1)
 
 
+class PlacementKeyTest(unittest.TestCase):
+    def test_long_key(self) -> None:
+        """Guards against callers' keys that fill the caches of placements."""
+        first, other = (make_request(c * 15_000).key for c in "ab")
+        self.assertNotEqual(first, other)
+        self.assertLessEqual(len(first), KEY_LENGTH_MAX)
+
+
 class ZoneFirstTest(unittest.TestCase):
     def test_requests_stay_in_the_zone(self) -> None:
         """Guards against unnecessary traffic between zones."""
