Receive peer messages with bounded memory at any speed

Bytes came at 200 MB/s meanwhile, and short parts take 20 to 30 times their bytes in ZeroMQ; the connections were cut off, but too late on a busy machine. A connection that was cut off also stayed half open for its sender.

Messages are now received on a STREAM socket, whose high-water mark holds the sender back by TCP's flow control, and integrations/peerframes.py parses the frames: a greeting of another protocol, a message of several frames (instances send exactly one) or one that is too large closes the connection at once. The check of the kernel's counters is gone. The wire format stays the same.

--- a/chiverun/integrations/acceptedpeers.py
+++ b/chiverun/integrations/acceptedpeers.py
@@ -1,139 +1,114 @@
-"""Bounds what connections of other instances bring without a message.
+"""Connections that other instances have opened, with bounded memory."""
 
-ZeroMQ limits the size of a message's parts but not their number, and keeps
-all parts until the last one has come. A faulty instance that sends parts
-without end would fill the memory.
-"""
-
-import os
-import socket
-import struct
+import dataclasses
+import time
+from collections.abc import Callable
 
 import logbook
 import zmq
-from zmq.utils.monitor import recv_monitor_message
+
+from chiverun.integrations.peerframes import FrameError
+from chiverun.integrations.peerframes import FrameReader
+from chiverun.integrations.peerframes import HANDSHAKE
 
 _LOG = logbook.Logger("peers")
 
-# Received bytes of a connection that no message has delivered yet: more than
-# a message of the largest size. Short parts take many times their bytes.
-UNDELIVERED_BYTES_MAX = 3 * 1024 * 1024
-# Interval between two checks, and while one of the connections has this much.
-CHECK_PERIOD_S = 0.1
-_SUSPICIOUS_BYTES = 256 * 1024
-_SUSPICIOUS_PERIOD_S = 0.01
-# Header of a frame on the wire (ZMTP 3.1), for a short and for a long one.
-_SHORT_FRAME_BYTES_MAX = 255
-_SHORT_HEADER_BYTES = 2
-_LONG_HEADER_BYTES = 9
-_EVENTS = zmq.EVENT_ACCEPTED | zmq.EVENT_CLOSED | zmq.EVENT_DISCONNECTED
-# Field `tcpi_bytes_received` of the kernel's `struct tcp_info`.
-_TCP_INFO_BYTES = 136
-_BYTES_RECEIVED = struct.Struct("=Q")
-_BYTES_RECEIVED_AT = 128
+MESSAGE_BYTES_MAX = 2 * 1024 * 1024
+# Pieces of up to 8 KiB that wait per connection; then the kernel's flow
+# control holds the sender back.
+_RECEIVE_HIGH_WATER_MARK = 256
+_RECEIVED_AT_ONCE_MAX = 256
+# A connection that has sent no greeting by then is closed.
+_HANDSHAKE_TIMEOUT_S = 30.0
+_TIMEOUT_CHECK_S = 1.0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
 class _Connection:
-    """An accepted connection; `sock` is a duplicate of ZeroMQ's socket."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
-        self.delivered = 0
-
-    def undelivered(self) -> int:
-        """Return the received bytes that no message has delivered."""
-        info = self.sock.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
-        )
-        (received,) = _BYTES_RECEIVED.unpack_from(info, _BYTES_RECEIVED_AT)
-        return received - self.delivered
+    opened_at: float
+    reader: FrameReader
 
 
 class AcceptedPeers:
-    """Connections that a ROUTER socket has accepted, by descriptor."""
-
-    def __init__(self, *, router: zmq.Socket) -> None:
-        self._router = router
-        self.monitor = router.get_monitor_socket(_EVENTS)
-        self._connections: dict[int, _Connection] = {}
-        # Connections that were cut off.
+    """Receives messages on a STREAM socket, which delivers plain bytes.
+
+    A ROUTER socket would keep the frames of an unfinished message without
+    limit.
+    """
+
+    def __init__(self, *, context: zmq.Context) -> None:
+        self.socket = context.socket(zmq.STREAM)
+        self.socket.setsockopt(zmq.LINGER, 0)
+        self.socket.setsockopt(zmq.RCVHWM, _RECEIVE_HIGH_WATER_MARK)
+        self._connections: dict[bytes, _Connection] = {}
+        self._timeouts_at = 0.0
+        # Connections that were cut off for what they sent.
         self.cut_off = 0
 
-    def note_events(self) -> None:
-        """Follow the connections that were accepted or closed."""
-        while self.monitor.poll(0):
-            event = recv_monitor_message(self.monitor, zmq.NOBLOCK)
-            descriptor = event["value"]
-            self._forget(descriptor)
-            if event["event"] == zmq.EVENT_ACCEPTED:
-                self._add(descriptor)
-
-    def note_message(self, frame: zmq.Frame) -> None:
-        """Count a part of a message as delivered."""
-        try:
-            descriptor = frame.get(zmq.SRCFD)
-        except zmq.ZMQError:
-            # From a program that does not speak the protocol of today.
-            return
-        conn = self._connections.get(descriptor)
-        if conn is not None:
-            conn.delivered += len(frame) + _header_bytes(len(frame))
+    def receive(self, deliver: Callable[[bytes], None]) -> None:
+        """Pass on the messages that have arrived, up to a limit of pieces.
 
-    def check(self) -> float:
-        """Cut off connections that bring bytes without a message.
-
-        Return the time until the next check, in seconds.
+        `deliver` must not raise.
         """
-        period_s = CHECK_PERIOD_S
-        for descriptor, conn in list(self._connections.items()):
+        for _ in range(_RECEIVED_AT_ONCE_MAX):
             try:
-                undelivered = conn.undelivered()
-            except (OSError, struct.error):
-                # The system does not tell.
-                self._forget(descriptor)
-                continue
-            if undelivered > _SUSPICIOUS_BYTES:
-                period_s = _SUSPICIOUS_PERIOD_S
-            if undelivered <= UNDELIVERED_BYTES_MAX:
+                name, data = self.socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            if not data:
+                # Tells of a connection that was opened or closed.
+                self._note_change(name)
                 continue
-            self.cut_off += 1
-            _LOG.warning(
-                "peer connection cut off",
-                extra={
-                    "undelivered": undelivered,
-                    "limit": UNDELIVERED_BYTES_MAX,
-                    "cut_off": self.cut_off,
-                },
-            )
-            try:
-                conn.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            self._forget(descriptor)
-        return period_s
+            for message in self._read(name, data):
+                deliver(message)
+
+    def close_silent(self) -> None:
+        """Close connections that have not sent their greeting in time."""
+        now = time.monotonic()
+        if now < self._timeouts_at:
+            return
+        self._timeouts_at = now + _TIMEOUT_CHECK_S
+        for name, conn in list(self._connections.items()):
+            is_late = now - conn.opened_at >= _HANDSHAKE_TIMEOUT_S
+            if is_late and not conn.reader.is_greeted:
+                self._cut_off(name, "no greeting")
 
     def close(self) -> None:
-        """Forget all connections."""
-        for descriptor in list(self._connections):
-            self._forget(descriptor)
-        self._router.disable_monitor()
-        # The context does not end while a socket is open.
-        self.monitor.close(linger=0)
-
-    def _add(self, descriptor: int) -> None:
+        """Close the socket with all connections."""
+        self.socket.close()
+
+    def _note_change(self, name: bytes) -> None:
+        if self._connections.pop(name, None) is not None:
+            return
         try:
-            sock = socket.socket(fileno=os.dup(descriptor))
-        except OSError:
+            self.socket.send_multipart([name, HANDSHAKE], zmq.NOBLOCK)
+        except zmq.ZMQError:
             # It has been closed meanwhile.
             return
-        self._connections[descriptor] = _Connection(sock)
-
-    def _forget(self, descriptor: int) -> None:
-        conn = self._connections.pop(descriptor, None)
-        if conn is not None:
-            conn.sock.close()
-
+        self._connections[name] = _Connection(
+            opened_at=time.monotonic(),
+            reader=FrameReader(bytes_max=MESSAGE_BYTES_MAX),
+        )
 
-def _header_bytes(frame_bytes: int) -> int:
-    is_short = frame_bytes <= _SHORT_FRAME_BYTES_MAX
-    return _SHORT_HEADER_BYTES if is_short else _LONG_HEADER_BYTES
+    def _read(self, name: bytes, data: bytes) -> list[bytes]:
+        conn = self._connections.get(name)
+        if conn is None:
+            return []
+        try:
+            return conn.reader.feed(data)
+        except FrameError as exc:
+            self._cut_off(name, str(exc))
+            return []
+
+    def _cut_off(self, name: bytes, reason: str) -> None:
+        self.cut_off += 1
+        _LOG.warning(
+            "peer connection cut off",
+            extra={"reason": reason, "cut_off": self.cut_off},
+        )
+        del self._connections[name]
+        try:
+            # An empty message closes the connection.
+            self.socket.send_multipart([name, b""], zmq.NOBLOCK)
+        except zmq.ZMQError:
+            pass
--- a/chiverun/integrations/peers.py
+++ b/chiverun/integrations/peers.py
@@ -16,27 +16,25 @@
 
 _LOG = logbook.Logger("peers")
 
-_MESSAGE_BYTES_MAX = 2 * 1024 * 1024
 _SEND_HIGH_WATER_MARK = 256
 _RECONNECT_MS_MAX = 500
 # Limit for connects, handshakes and unacknowledged data. With zmq's defaults
 # (30 s for a handshake), a zone that rejoined after a partition while the
 # store was down received a ticket only after 13 to 20 s.
 _LINK_TIMEOUT_MS = 1500
-_RECEIVE_HIGH_WATER_MARK = 512
 # Limit of the send queue; the oldest messages are dropped first.
 OUTBOX_BYTES_MAX = 32 * 1024 * 1024
 _OUTBOX_MESSAGES_MAX = 4096
 # More than the instances of a large fleet: a quota coordinator answers all.
 _CONNECTIONS_MAX = 512
-_RECEIVED_AT_ONCE_MAX = 256
 _IDLE_TIMEOUT_S = 60.0
+_POLL_MS = 500
 
 
 class ZmqPeers:
     """Sends and receives datagram-like messages, which may be lost.
 
-    A ROUTER socket receives. Each destination has a DEALER socket, which
+    `AcceptedPeers` receives. Each destination has a DEALER socket, which
     reconnects automatically and drops messages while it is not connected.
     """
 
@@ -55,9 +53,7 @@
             Address, tuple[zmq.Socket, float]
         ] = collections.OrderedDict()
         self.bytes_sent = 0
-        self.bytes_received = 0
         self.messages_dropped = 0
-        self._check_at = 0.0
         # Unexpected errors on the thread.
         self.failures = 0
 
@@ -69,18 +65,14 @@
         ChiverunError
             PORT_IN_USE.
         """
-        self._router = self._context.socket(zmq.ROUTER)
-        self._router.setsockopt(zmq.LINGER, 0)
-        self._router.setsockopt(zmq.MAXMSGSIZE, _MESSAGE_BYTES_MAX)
-        self._router.setsockopt(zmq.RCVHWM, _RECEIVE_HIGH_WATER_MARK)
+        self._accepted = AcceptedPeers(context=self._context)
         try:
-            self._router.bind(f"tcp://{self._bind}")
+            self._accepted.socket.bind(f"tcp://{self._bind}")
         except zmq.ZMQError as exc:
             raise ChiverunError(
                 ResultCode.PORT_IN_USE,
                 f"cannot listen on {self._bind}: {exc}",
             ) from exc
-        self._accepted = AcceptedPeers(router=self._router)
         self._wake_receiver = self._context.socket(zmq.PAIR)
         self._wake_receiver.bind("inproc://wake")
         self._wake_sender = self._context.socket(zmq.PAIR)
@@ -123,9 +115,8 @@
 
     def _run(self) -> None:
         poller = zmq.Poller()
-        poller.register(self._router, zmq.POLLIN)
+        poller.register(self._accepted.socket, zmq.POLLIN)
         poller.register(self._wake_receiver, zmq.POLLIN)
-        poller.register(self._accepted.monitor, zmq.POLLIN)
         while not self._stopping.is_set():
             try:
                 self._run_once(poller)
@@ -137,35 +128,23 @@
         self._close_sockets()
 
     def _run_once(self, poller: zmq.Poller) -> None:
-        left_s = max(0.0, self._check_at - time.monotonic())
-        ready = dict(poller.poll(1 + int(1000 * left_s)))
+        ready = dict(poller.poll(_POLL_MS))
         if self._wake_receiver in ready:
             _drain(self._wake_receiver)
-        if self._accepted.monitor in ready:
-            self._accepted.note_events()
-        if self._router in ready:
-            self._receive_messages()
+        if self._accepted.socket in ready:
+            # Messages to send wait meanwhile.
+            self._accepted.receive(self._deliver)
         self._send_queued()
         self._close_idle()
-        self._check_accepted()
+        self._accepted.close_silent()
 
-    def _check_accepted(self) -> None:
-        now = time.monotonic()
-        if now >= self._check_at:
-            self._check_at = now + self._accepted.check()
-
-    def _receive_messages(self) -> None:
-        # Messages to send wait meanwhile.
-        for _ in range(_RECEIVED_AT_ONCE_MAX):
-            try:
-                parts = self._router.recv_multipart(zmq.NOBLOCK, copy=False)
-            except zmq.ZMQError:
-                return
-            for part in parts[1:]:
-                self._accepted.note_message(part)
-            if len(parts) == 2:
-                self.bytes_received += len(parts[1])
-                self._receive(parts[1].bytes)
+    def _deliver(self, message: bytes) -> None:
+        try:
+            self._receive(message)
+        except Exception:
+            # Other messages may have come with this one.
+            self.failures += 1
+            _LOG.exception("cannot handle a message")
 
     def _send_queued(self) -> None:
         while True:
@@ -217,7 +196,6 @@
         for dealer, _ in self._dealers.values():
             dealer.close()
         self._accepted.close()
-        self._router.close()
         self._wake_receiver.close()
         self._wake_sender.close()
         self._context.term()
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -4,10 +4,12 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from chiverun.core.errors import ChiverunError
+from chiverun.integrations import acceptedpeers
 from chiverun.integrations import peers as peers_module
-from chiverun.integrations.acceptedpeers import UNDELIVERED_BYTES_MAX
+from chiverun.integrations.acceptedpeers import MESSAGE_BYTES_MAX
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.peers import ZmqPeers
 from tests.integrations import zmtp
@@ -75,7 +77,7 @@
             conn.sendall(zmtp.GREETING + zmtp.READY)
             sent = 0
             with self.assertRaises(OSError):
-                while sent < 8 * UNDELIVERED_BYTES_MAX:
+                while sent < 8 * MESSAGE_BYTES_MAX:
                     conn.sendall(zmtp.part(bytes(1024 * 1024)))
                     sent += 1024 * 1024
                     time.sleep(0.01)
@@ -84,7 +86,7 @@
         self.assertEqual([b"small"], self._received)
         self.assertEqual(0, self.receiver.failures)
 
-    def test_messages_of_an_ordinary_peer_are_all_counted(self) -> None:
+    def test_messages_of_an_ordinary_peer_all_arrive(self) -> None:
         """Guards against a peer that is cut off after many messages."""
         self.receiver.start(self._receive)
         sizes = [0, 1, 255, 256, 300, 70_000]
@@ -92,9 +94,36 @@
             for size in sizes:
                 self.sender.send(self._peer_address, bytes(size))
             self._wait_for_messages(turn * len(sizes))
-        rows = list(self.receiver._accepted._connections.values())
-        self.assertEqual(1, len(rows))
-        self.assertLess(rows[0].undelivered(), 256)
+        self.assertEqual(200 * sizes, [len(m) for m in self._received])
+        self.assertEqual(0, self.receiver._accepted.cut_off)
+
+    def test_sender_waits_for_a_slow_receiver(self) -> None:
+        """Guards against bytes that wait in memory without a limit.
+
+        They are received faster than they are handled.
+        """
+        free = threading.Event()
+        self.addCleanup(free.set)
+        self.receiver.start(lambda data: free.wait())
+        host, port = self._peer_address.split(":")
+        with socket.create_connection((host, int(port)), 5.0) as conn:
+            conn.sendall(zmtp.GREETING + zmtp.READY)
+            conn.settimeout(0.5)
+            sent = 0
+            with self.assertRaises(TimeoutError):
+                while sent < 64 * MESSAGE_BYTES_MAX:
+                    sent += conn.send(zmtp.message(bytes(100)) * 1000)
+
+    def test_silent_connection_is_closed(self) -> None:
+        """Guards against connections without a greeting that stay open."""
+        self.receiver.start(self._receive)
+        host, port = self._peer_address.split(":")
+        with (
+            mock.patch.object(acceptedpeers, "_HANDSHAKE_TIMEOUT_S", 0.5),
+            socket.create_connection((host, int(port)), 5.0) as conn,
+        ):
+            while conn.recv(65_536):
+                pass
 
     def test_bytes_that_are_no_message(self) -> None:
         """Guards against an error for each piece of another protocol."""
