--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -23,6 +23,7 @@
 from chiverun.core.statednumbers import LAPSE_S
 from chiverun.core.statednumbers import LIMIT_PER_S
 from chiverun.core.statednumbers import MESSAGE_NUMBER
+from chiverun.core.statednumbers import QUOTA_TOKENS
 from chiverun.core.suspects import EndedServer
 
 
@@ -122,7 +123,8 @@
 QUOTA_ROWS_MAX = 2000
 _COUNT_MAX = 10**9
 _Count = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
-_Amount = Annotated[float, AGE_S.meta]
+_Amount = Annotated[float, QUOTA_TOKENS.meta]
+_Seconds = Annotated[float, AGE_S.meta]
 
 
 class QuotaDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -155,10 +157,10 @@
     boot_id: BootId = msgspec.field(name="life")
     number: _Count
     echo_boot_id: BootId | None = None
-    echo_sent_at: _Amount = 0.0
-    echo_age_s: _Amount = 0.0
+    echo_sent_at: _Seconds = 0.0
+    echo_age_s: _Seconds = 0.0
     share_s: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
-    unused_s: _Amount = 0.0
+    unused_s: _Seconds = 0.0
     starts_filled: bool = False
     demands: Annotated[
         list[QuotaDemand], msgspec.Meta(max_length=QUOTA_ROWS_MAX)
@@ -187,7 +189,7 @@
     boot_id: BootId = msgspec.field(name="life")
     receiver: BootId
     number: _Count
-    sent_at: _Amount
+    sent_at: _Seconds
     leaving: bool = False
     tokens: Annotated[
         list[QuotaTokens], msgspec.Meta(max_length=QUOTA_ROWS_MAX)
--- a/chiverun/core/statednumbers.py
+++ b/chiverun/core/statednumbers.py
@@ -76,6 +76,7 @@
 ARRIVALS = StatedNumber(high=2**53, unit="requests")
 ARRIVALS_PER_S = StatedNumber(high=20_000, unit="requests a second")
 DEMAND_PER_S = StatedNumber(high=1_000_000, unit="requests a second")
+QUOTA_TOKENS = StatedNumber(high=1e9, unit="requests")
 LAPSE_S = StatedNumber(high=60, unit="s")
 CLOCK_S = StatedNumber(high=1e9, unit="s")
 # A message is in transit for less, or its time is wrong.
