Count a request at a server from the moment of the choice

Cause: the load of a server counted a request when the task of its send began to run. All requests that are read in one turn of the event loop were placed before that, as if the servers were idle; the slower the machine, the more requests a turn reads. Ruled out: slow clients (the requests may be complete in the kernel, with the same result), and the stall rule alone (up to 60 of 60 were accepted, where it explains 48).

Change: Sender.start counts the request and starts its task. A task that is cancelled before it runs ends the count too.

--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 import math
+from typing import Any
 
 import logbook
 
@@ -102,7 +103,7 @@
         self._loop = asyncio.get_running_loop()
         self._numbers = itertools.count()
 
-    async def send(
+    def start(
         self,
         row: ServerRow,
         request: IncomingRequest,
@@ -113,11 +114,13 @@
         typical_s: float,
         chosen_at: float,
         attempt: int = 1,
-    ) -> SendResult:
-        """Send a request once.
+    ) -> asyncio.Task[SendResult]:
+        """Start to send a request once.
 
-        `chosen_at`, when the server was chosen, and `deadline` are in event
-        loop time. `attempt` numbers the sends of the request.
+        The server's load counts it at once: further requests may be read
+        before the task runs. `chosen_at`, when the server was chosen, and
+        `deadline` are in event loop time. `attempt` numbers the sends of the
+        request.
         """
         number = next(self._numbers)
         started_at = self._loop.time()
@@ -128,8 +131,39 @@
             **_limit_at_selection(row, started_at),
             **_cold_at_selection(row, started_at),
         }
-        row.load.in_flight += 1
-        row.pending_sends[number] = started_at
+        row.begin_send(number, started_at)
+        task = self._loop.create_task(
+            self._send(
+                row,
+                request,
+                metadata,
+                repeatable=repeatable,
+                deadline=deadline,
+                typical_s=typical_s,
+                chosen_at=chosen_at,
+                number=number,
+                started_at=started_at,
+                selection=selection,
+            )
+        )
+        # A task that is cancelled before it runs ends nothing itself.
+        task.add_done_callback(lambda _: row.end_send(number))
+        return task
+
+    async def _send(
+        self,
+        row: ServerRow,
+        request: IncomingRequest,
+        metadata: RequestMetadata,
+        *,
+        repeatable: bool,
+        deadline: float,
+        typical_s: float,
+        chosen_at: float,
+        number: int,
+        started_at: float,
+        selection: dict[str, Any],
+    ) -> SendResult:
         try:
             result = await self._exchange(
                 row, request, metadata, repeatable, deadline, chosen_at
@@ -155,8 +189,7 @@
             )
             raise
         finally:
-            row.load.in_flight -= 1
-            del row.pending_sends[number]
+            row.end_send(number)
         self._record(row, result, request, metadata, started_at, typical_s)
         self._log(row, result, request, metadata, started_at, selection)
         return result
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -91,6 +91,16 @@
         """Whether the server has said that it is leaving."""
         return self.leaving_since is not None
 
+    def begin_send(self, number: int, now: float) -> None:
+        """Count a request from the moment at which this server was chosen."""
+        self.load.in_flight += 1
+        self.pending_sends[number] = now
+
+    def end_send(self, number: int) -> None:
+        """Count a request no longer; more than one call has no effect."""
+        if self.pending_sends.pop(number, None) is not None:
+            self.load.in_flight -= 1
+
     def pop_idle(
         self, now: float, idle_max_s: float
     ) -> ClientConnection | None:
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -315,17 +315,15 @@
         send = Send(
             row=row, started_at=now, queue_factor=queue_factor(row, now)
         )
-        task = self._loop.create_task(
-            self._sender.send(
-                row,
-                request.incoming,
-                request.metadata,
-                repeatable=request.route.repeatable,
-                deadline=request.deadline,
-                typical_s=self._latencies.typical_s(request.route),
-                chosen_at=now,
-                attempt=request.sends,
-            )
+        task = self._sender.start(
+            row,
+            request.incoming,
+            request.metadata,
+            repeatable=request.route.repeatable,
+            deadline=request.deadline,
+            typical_s=self._latencies.typical_s(request.route),
+            chosen_at=now,
+            attempt=request.sends,
         )
         request.pending[task] = send
         return True
--- a/tests/adapter/test_edge.py
+++ b/tests/adapter/test_edge.py
@@ -214,6 +214,29 @@
         self.assertEqual(response.status, 504)
         self.assertLess(loop.time() - started_at, 1.5 + 0.5)
 
+    async def test_requests_that_are_read_together_are_counted(self) -> None:
+        """Guards against a burst that is sent to servers as if they were idle.
+
+        The process is stopped while the requests arrive.
+        """
+        await self._start_until_ready()
+        for upstream in self.upstreams:
+            upstream.faults = UpstreamFaults(delay_s=1.0)
+        self.process.send_signal(signal.SIGSTOP)
+        raws = [
+            build_request("/book/1", f"b{i}", method="POST") for i in range(60)
+        ]
+        calls = [
+            asyncio.create_task(call(self.listen["front"], raw))
+            for raw in raws
+        ]
+        await asyncio.sleep(0.5)
+        self.process.send_signal(signal.SIGCONT)
+        done = await asyncio.gather(*calls)
+        statuses = collections.Counter(response.status for response in done)
+        # 3 servers run 4 requests each and queue as many.
+        self.assertGreaterEqual(statuses[503], 60 - 24, statuses)
+
     async def test_requests_rejected_for_overload_did_not_run(self) -> None:
         """Guards against queues that delay every response too long."""
         await self._start_until_ready()
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -125,7 +125,7 @@
             body=b"",
             arrived_at=self.loop.time(),
         )
-        return await self.sender.send(
+        return await self.sender.start(
             row,
             incoming,
             PlatformHeaderCodec().request_metadata(incoming),
@@ -141,6 +141,21 @@
             self.assertEqual(f"body {number}".encode(), result.end.body)
         self.assertNotIsInstance(result.end, Shed)
 
+    async def test_load_counts_a_send_before_it_runs(self) -> None:
+        """Guards against a burst that goes to one server as a whole.
+
+        Requests that are read together choose before any of their tasks runs.
+        """
+        row = await self._start([], [])
+        sends = [asyncio.create_task(self._send(row, i)) for i in (1, 2, 3)]
+        await asyncio.sleep(0)
+        self.assertEqual(3, row.load.in_flight)
+        sends[0].cancel()
+        await asyncio.gather(*sends, return_exceptions=True)
+        await asyncio.sleep(0)
+        self.assertEqual(0, row.load.in_flight)
+        self.assertEqual({}, row.pending_sends)
+
     async def test_second_copy_on_a_used_connection(self) -> None:
         """Guards against the response of an earlier request."""
         for name, second in _SECOND.items():
--- a/tests/runtime/test_steering.py
+++ b/tests/runtime/test_steering.py
@@ -101,7 +101,12 @@
         sends = []
 
         class RefusesFirst:
-            async def send(self, row, *_args, **_kwargs) -> SendResult:
+            def start(
+                self, row, *_args, **_kwargs
+            ) -> asyncio.Task[SendResult]:
+                return asyncio.create_task(self._send(row))
+
+            async def _send(self, row) -> SendResult:
                 sends.append(row.server.name)
                 await asyncio.sleep(0.01)
                 if len(sends) > 1:
