--- a/tests/adapter/edgecase.py
+++ b/tests/adapter/edgecase.py
@@ -12,10 +12,12 @@
 from standins.upstream import Upstream
 from tests.adapter.examples import desired_state
 from tests.adapter.examples import settings_body
-from tests.adapter.test_store import free_address
+from tests.ports import free_address
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
 PROCESS_TIMEOUT_S = 20.0
+# Part of a process's errors that is shown.
+_ERRORS_LENGTH = 2000
 
 
 class Response:
@@ -140,7 +142,18 @@
             except OSError:
                 pass
             await asyncio.sleep(0.1)
-        self.fail(f"not within {PROCESS_TIMEOUT_S:g} s: {what}")
+        self.fail(
+            f"not within {PROCESS_TIMEOUT_S:g} s: {what}"
+            f"{await self._describe_exit()}"
+        )
+
+    async def _describe_exit(self) -> str:
+        """Return how the process ended and what it said, if it has ended."""
+        if self.process is None or self.process.returncode is None:
+            return ""
+        errors = await self.process.stderr.read()
+        text = errors.decode(errors="replace")[-_ERRORS_LENGTH:]
+        return f"; exit status {self.process.returncode}: {text}"
 
     async def _is_ready(self) -> bool:
         response = await call(
--- a/tests/adapter/test_edge_endless.py
+++ b/tests/adapter/test_edge_endless.py
@@ -18,8 +18,8 @@
 from tests.adapter.edgecase import call
 from tests.adapter.edgecase import EdgeCase
 from tests.adapter.examples import desired_state
-from tests.adapter.test_store import free_address
 from tests.integrations import zmtp
+from tests.ports import free_address
 
 _KIB = 1024
 _MIB = 1024 * _KIB
--- a/tests/adapter/test_edge_suspects.py
+++ b/tests/adapter/test_edge_suspects.py
@@ -8,7 +8,7 @@
 from tests.adapter.edgecase import call
 from tests.adapter.edgecase import EdgeCase
 from tests.adapter.edgecase import Response
-from tests.adapter.test_store import free_address
+from tests.ports import free_address
 
 _SERVERS = 8
 _DEADLY = "/read/deadly"
--- a/tests/adapter/test_fuzz.py
+++ b/tests/adapter/test_fuzz.py
@@ -43,7 +43,7 @@
 from tests.adapter.examples import server_entry
 from tests.adapter.examples import settings_body
 from tests.adapter.test_malformed import PEER_MESSAGES
-from tests.adapter.test_store import free_address
+from tests.ports import free_address
 
 _SEED = int(os.environ.get("FUZZ_SEED", "1"))
 _CASES = int(os.environ.get("FUZZ_CASES", "120"))
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import unittest
 from unittest import mock
 
@@ -22,6 +21,7 @@
 from standins.metastore import MetaStore
 from tests.adapter.examples import desired_state
 from tests.adapter.examples import server_entry
+from tests.ports import free_address
 
 _MACHINE = Machine(
     name="m1",
@@ -35,13 +35,6 @@
 _LOOP_HELD_MAX_S = 0.25
 
 
-def free_address() -> str:
-    """Return a loopback address with a currently unused port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         address = free_address()
--- a/tests/integrations/test_callerconnections.py
+++ b/tests/integrations/test_callerconnections.py
@@ -12,7 +12,7 @@
 from chiverun.integrations.web import Response
 from chiverun.integrations.web import WebServer
 from standins.cluster import wait_until
-from tests.integrations.test_web import free_address
+from tests.ports import free_address
 
 _GET = b"GET /s/x HTTP/1.1\r\nHost: a\r\n"
 _POST = b"POST /s/x HTTP/1.1\r\nHost: a\r\n"
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -13,21 +13,16 @@
 from chiverun.integrations.network import AddressMap
 from chiverun.integrations.peers import ZmqPeers
 from tests.integrations import zmtp
-
-
-def _address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+from tests.ports import free_address
 
 
 class PeersTest(unittest.TestCase):
     def setUp(self) -> None:
         self._received: list[bytes] = []
         self._received_changed = threading.Condition()
-        self._peer_address = _address()
+        self._peer_address = free_address()
         self.sender = ZmqPeers(
-            bind=_address(), addresses=AddressMap(mapping={})
+            bind=free_address(), addresses=AddressMap(mapping={})
         )
         self.receiver = ZmqPeers(
             bind=self._peer_address, addresses=AddressMap(mapping={})
@@ -157,7 +152,9 @@
 
     def test_queue_to_send_is_bounded(self) -> None:
         """Guards against a send queue that grows without limit."""
-        unstarted = ZmqPeers(bind=_address(), addresses=AddressMap(mapping={}))
+        unstarted = ZmqPeers(
+            bind=free_address(), addresses=AddressMap(mapping={})
+        )
         unstarted._stopping.set()
         payload = b"x" * (1024 * 1024)
         for _ in range(2 * peers_module.OUTBOX_BYTES_MAX // len(payload)):
--- a/tests/integrations/test_threadpace.py
+++ b/tests/integrations/test_threadpace.py
@@ -11,7 +11,7 @@
 from chiverun.integrations.threadpace import ThreadPace
 from chiverun.integrations.web import Response
 from chiverun.integrations.web import WebServer
-from tests.integrations.test_web import free_address
+from tests.ports import free_address
 
 _ONE_BYTE_CHUNKS = b"1\r\na\r\n" * 10_000
 _UPLOAD_HEAD = (
--- a/tests/integrations/test_web.py
+++ b/tests/integrations/test_web.py
@@ -14,6 +14,7 @@
 from standins.cluster import wait_until
 from tests.naive import IS_NAIVE
 from tests.naive import NaiveWebServer
+from tests.ports import free_address
 
 _POST = b"POST /s/x HTTP/1.1\r\nHost: a\r\n"
 _GET = b"GET /s/x HTTP/1.1\r\nHost: a\r\n"
@@ -22,12 +23,6 @@
 _ERROR_STATUSES = (b"400", b"413", b"414", b"501", b"505")
 
 
-def free_address() -> str:
-    """Return a loopback address with a currently unused port."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
 class WebTest(unittest.TestCase):
     handled_requests = []
     error = None
--- a/tests/integrations/webcase.py
+++ b/tests/integrations/webcase.py
@@ -12,7 +12,7 @@
 from urllib3.exceptions import HTTPError
 
 from standins.cluster import wait_until
-from tests.integrations.test_web import free_address
+from tests.ports import free_address
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
 # Memory of a machine whose memory is not known, as core/bytebudget.py takes
