--- a/tests/runtime/test_ticketspread.py
+++ b/tests/runtime/test_ticketspread.py
@@ -25,7 +25,7 @@
 from chiverun.core.ticket import Zone
 from chiverun.core.ticketentry import Entry
 from chiverun.core.ticketlog import TicketLog
-from chiverun.integrations.peers import _MESSAGE_BYTES_MAX
+from chiverun.integrations.acceptedpeers import MESSAGE_BYTES_MAX
 from chiverun.runtime.control import ControlPlane
 from chiverun.runtime.control import Identity
 from chiverun.runtime.events import EntriesRead
@@ -100,7 +100,7 @@
 
     def _send(self, source: str, target: str, message) -> None:
         data = encode_message(message)
-        if self.gossips and len(data) <= _MESSAGE_BYTES_MAX:
+        if self.gossips and len(data) <= MESSAGE_BYTES_MAX:
             due = self.clock.monotonic() + LATENCY_S
             self._queue.append((due, source, target, data))
 
