Take the lead of a revision and the lines of changes out of the follower

Nothing else changes: tests.runtime.test_wrongrevision, test_follower, test_restoredfleet and test_fleet pass.

--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -14,9 +14,7 @@
 import msgspec
 
 from chiverun.core import edgemessages
-from chiverun.core.catalog import DesiredState
 from chiverun.core.catalog import Machine
-from chiverun.core.catalog import Server
 from chiverun.core.edgemessages import DemandMessage
 from chiverun.core.edgemessages import DemandReport
 from chiverun.core.edgemessages import Heartbeat
@@ -39,10 +37,10 @@
 from chiverun.core.loopusage import LoopUsage
 from chiverun.core.peertable import HEARTBEAT_PERIOD_S
 from chiverun.core.peertable import PeerTable
-from chiverun.core.replica import Evacuation
 from chiverun.core.replica import LAPSE_GRACE_S
 from chiverun.core.replica import Replica
 from chiverun.core.replica import VersionedRecord
+from chiverun.core.revisionlead import RevisionLead
 from chiverun.core.revisions import era_of
 from chiverun.core.revisions import Revision
 from chiverun.core.revisions import store_revision_of
@@ -54,6 +52,7 @@
 from chiverun.integrations.inbox import Inbox
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.runtime.heartbeats import Heartbeats
+from chiverun.runtime.recordlog import log_changes
 
 _LOG = logbook.Logger("catalog")
 
@@ -67,8 +66,6 @@
 # A shorter gap between reads is not an outage in which records can expire: a
 # store without changes is read every 1.2 s.
 OUTAGE_MIN_S = 2.5
-# News of the store reaches all instances sooner.
-AHEAD_MAX_S = 5.0
 _CHECK_PERIOD_S = 0.1
 
 
@@ -118,8 +115,7 @@
         self._read_at = self._loop.time()
         self._is_loss_logged = False
         self._lapse_until = float("-inf")
-        # Since when all updates have been behind the known revision.
-        self._ahead_since: float | None = None
+        self._lead = RevisionLead()
         self._live_list_sent_at = float("-inf")
         # Whether this machine reads the store for its region, and whether it
         # reads it at all; a relay that is no reader serves its zone only.
@@ -405,31 +401,22 @@
 
     def _handle_snapshot(self, snapshot: Snapshot) -> None:
         known = self.replica.as_of
-        if snapshot.as_of < known and self._is_ahead(self._loop.time()):
+        if snapshot.as_of < known and self._lead.is_too_long(
+            self._loop.time()
+        ):
             self._forget_later(snapshot.as_of, known)
         elif snapshot.as_of <= known:
             return
-        self._ahead_since = None
+        self._lead.end()
         self._apply_listing(snapshot.items, snapshot.as_of, "peer")
         self._needs_full_read = False
 
-    def _is_ahead(self, now: float) -> bool:
-        """Return whether nobody has reached the known revision for long.
-
-        It is a wrong one then: what one instance knows, all know soon.
-        """
-        since = self._ahead_since
-        return since is not None and now - since > AHEAD_MAX_S
-
     def _handle_update(self, update: Update) -> None:
         now = self._loop.time()
         if not update.relayed and self.table.passes_on(update.sender, now):
             self._pass_on(update)
-        if update.as_of >= self.replica.as_of:
-            self._ahead_since = None
-        elif self._ahead_since is None:
-            self._ahead_since = now
-        if self._is_ahead(now):
+        self._lead.note_update(update.as_of, known=self.replica.as_of, now=now)
+        if self._lead.is_too_long(now):
             self._pull_from(update.sender, Revision(0))
         if era_of(update.as_of) < era_of(self.replica.as_of):
             # The sender has not heard of the restoration yet.
@@ -492,17 +479,7 @@
         if not changed:
             return
         self.table.record_machines(self.replica.machines())
-        for item in changed:
-            _LOG.info(
-                "record changed",
-                extra={
-                    "key": item.key,
-                    "revision": store_revision_of(item.revision),
-                    "era": era_of(item.revision),
-                    "source": source,
-                    **_describe(item),
-                },
-            )
+        log_changes(changed, source)
         self._on_change()
 
 
@@ -511,23 +488,3 @@
     if update.since > as_of or era_of(update.as_of) > era_of(as_of):
         return True
     return update.from_listing and update.since < as_of < update.as_of
-
-
-def _describe(item: VersionedRecord) -> dict:
-    match item.record:
-        case None:
-            return {"now": "deleted"}
-        case DesiredState(version=version):
-            return {"now": "desired state", "version": version}
-        case Server() as server:
-            return {
-                "now": server.state.value,
-                "service": server.service,
-                "zone": server.zone,
-                "cold_left_s": server.cold_left_s,
-            }
-        case Evacuation():
-            return {"now": "evacuated"}
-        case Machine(entry=entry):
-            return {"now": "registered", "entry": entry}
-    return {"now": "unreadable"}
