--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -23,18 +23,17 @@
 from chiverun.core.headertext import Headers
 from chiverun.core.health import eject
 from chiverun.core.health import record
-from chiverun.core.statednumbers import KEEP_ALIVE_S
-from chiverun.core.statednumbers import parse_whole
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.integrations.asyncclient import connect
 from chiverun.integrations.asyncclient import OutgoingRequest
 from chiverun.integrations.asyncserver import IncomingRequest
 from chiverun.integrations.readturns import ReadTurns
+from chiverun.runtime.connectionheaders import end_to_end
+from chiverun.runtime.connectionheaders import idle_limit_s
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
 from chiverun.runtime.serverstatements import apply_statements
-from chiverun.runtime.servertable import KEEP_ALIVE_DEFAULT_S
 from chiverun.runtime.servertable import MISDIRECTED_PAUSE_S
 from chiverun.runtime.servertable import ServerRow
 
@@ -55,21 +54,6 @@
 # A server may close a connection that has been idle for longer just as it is
 # reused, which leaves unknown whether the request ran.
 UNREPEATABLE_IDLE_MAX_S = 1.0
-# Idle connections are discarded this long before the server closes them.
-KEEP_ALIVE_MARGIN_S = 0.5
-
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-_OWN_FRAMING = frozenset({"content-length", "expect"})
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -361,7 +345,7 @@
         metadata = self._header_codec.response_metadata(end.status, headers)
         if metadata.is_mixed:
             return SendResult(end=Mismatched(request_id=_SEVERAL))
-        _update_keep_alive(row, headers)
+        row.keep_alive_s = idle_limit_s(headers, row.keep_alive_s)
         is_matched = metadata.is_stamped and metadata.request_id == request_id
         # On a used connection it can be a late response to an earlier one.
         is_anonymous = metadata.request_id is None and not is_fresh
@@ -478,37 +462,3 @@
         "cold_left_ms": round(1000 * (row.cold_until - now)),
         "recent_sends": row.recent_sends.count(now),
     }
-
-
-def end_to_end(headers: Headers) -> Headers:
-    """Return the end-to-end headers, without hop-by-hop and framing ones."""
-    listed = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    dropped = _HOP_BY_HOP | _OWN_FRAMING | (listed - {"host"})
-    return [
-        (name, value) for name, value in headers if name.lower() not in dropped
-    ]
-
-
-def _update_keep_alive(row: ServerRow, headers: Headers) -> None:
-    """Apply the idle timeout that a response states, or states no more."""
-    values = {name.lower(): value for name, value in headers}
-    if "keep-alive" in values:
-        stated_s = _parse_keep_alive(values["keep-alive"])
-        if stated_s is not None:
-            row.keep_alive_s = max(0.0, stated_s - KEEP_ALIVE_MARGIN_S)
-    elif "close" not in values.get("connection", "").lower():
-        row.keep_alive_s = KEEP_ALIVE_DEFAULT_S
-
-
-def _parse_keep_alive(value: str) -> int | None:
-    """Return the timeout in seconds, None if none is stated."""
-    for part in value.split(","):
-        key, _, text = part.strip().partition("=")
-        if key == "timeout":
-            return parse_whole(text, KEEP_ALIVE_S)
-    return None
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -25,6 +25,7 @@
 from chiverun.core.serverlimit import NamedLimit
 from chiverun.core.statednumbers import cold_limit_s
 from chiverun.integrations.asyncclient import ClientConnection
+from chiverun.runtime.connectionheaders import KEEP_ALIVE_DEFAULT_S
 
 _LOG = logbook.Logger("servers")
 
@@ -35,8 +36,6 @@
 MISDIRECTED_PAUSE_S = 3.0
 # Longer than a server takes to leave, and than its record stays away.
 LEAVING_MEMORY_S = 120.0
-# Idle timeout of a server that sends no Keep-Alive header.
-KEEP_ALIVE_DEFAULT_S = 4.0
 # Limit of a server's cold time while its service is not known.
 COLD_LIMIT_DEFAULT_S = 20.0
 # Window of the count of own sends that is logged beside a server's limit.
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -30,6 +30,7 @@
 from chiverun.runtime.callers import Caller
 from chiverun.runtime.callers import Callers
 from chiverun.runtime.callers import DisjointHomes
+from chiverun.runtime.connectionheaders import end_to_end
 from chiverun.runtime.edgemetrics import EdgeMetrics
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
@@ -42,7 +43,6 @@
 from chiverun.runtime.selection import Overloaded
 from chiverun.runtime.selection import queue_factor
 from chiverun.runtime.selection import Selector
-from chiverun.runtime.sending import end_to_end
 from chiverun.runtime.sending import Sender
 from chiverun.runtime.sending import SendResult
 from chiverun.runtime.servertable import ServerRow
--- a/tests/adapter/test_fuzz.py
+++ b/tests/adapter/test_fuzz.py
@@ -31,8 +31,8 @@
 from chiverun.platform.ingress import Ingress
 from chiverun.platform.settings import decode_settings
 from chiverun.platform.store import PlatformStore
+from chiverun.runtime.connectionheaders import KEEP_ALIVE_DEFAULT_S
 from chiverun.runtime.edge import Edge
-from chiverun.runtime.servertable import KEEP_ALIVE_DEFAULT_S
 from standins.metastore import MetaStore
 from tests import malformed
 from tests.adapter import oddbytes
