Hand a send over as one order instead of eight arguments

Sender.start and its task repeated the same list of arguments. SendOrder holds them, and runtime/selectionlog.py has what log lines tell of a chosen server. Nothing else changes: the tests of sending, steering, hedging and cold checks pass; two of them follow the new signature.

--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import itertools
-import math
 from typing import Any
 
 import logbook
@@ -33,6 +32,7 @@
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
+from chiverun.runtime.selectionlog import describe_selection
 from chiverun.runtime.serverstatements import apply_statements
 from chiverun.runtime.servertable import MISDIRECTED_PAUSE_S
 from chiverun.runtime.servertable import ServerRow
@@ -71,6 +71,24 @@
         return isinstance(self.end, NotSent | Shed)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SendOrder:
+    """A request to send once.
+
+    `deadline` and `chosen_at`, when the server was chosen, are in event loop
+    time; `typical_s` is the usual response time. `attempt` numbers the sends
+    of the request.
+    """
+
+    request: IncomingRequest
+    metadata: RequestMetadata
+    repeatable: bool
+    deadline: float
+    typical_s: float
+    chosen_at: float
+    attempt: int = 1
+
+
 class Sender:
     """Sends requests and records the health and load of servers."""
 
@@ -88,47 +106,20 @@
         self._numbers = itertools.count()
 
     def start(
-        self,
-        row: ServerRow,
-        request: IncomingRequest,
-        metadata: RequestMetadata,
-        *,
-        repeatable: bool,
-        deadline: float,
-        typical_s: float,
-        chosen_at: float,
-        attempt: int = 1,
+        self, row: ServerRow, order: SendOrder
     ) -> asyncio.Task[SendResult]:
         """Start to send a request once.
 
         The server's load counts it at once: further requests may be read
-        before the task runs. `chosen_at`, when the server was chosen, and
-        `deadline` are in event loop time. `attempt` numbers the sends of the
-        request.
+        before the task runs.
         """
         number = next(self._numbers)
         started_at = self._loop.time()
         row.recent_sends.add(started_at)
-        selection = {
-            "attempt": attempt,
-            **_load_at_selection(row, started_at),
-            **_limit_at_selection(row, started_at),
-            **_cold_at_selection(row, started_at),
-        }
+        selection = describe_selection(row, started_at)
         row.begin_send(number, started_at)
         task = self._loop.create_task(
-            self._send(
-                row,
-                request,
-                metadata,
-                repeatable=repeatable,
-                deadline=deadline,
-                typical_s=typical_s,
-                chosen_at=chosen_at,
-                number=number,
-                started_at=started_at,
-                selection=selection,
-            )
+            self._send(row, order, number, started_at, selection)
         )
         # A task that is cancelled before it runs ends nothing itself.
         task.add_done_callback(lambda _: row.end_send(number))
@@ -137,21 +128,13 @@
     async def _send(
         self,
         row: ServerRow,
-        request: IncomingRequest,
-        metadata: RequestMetadata,
-        *,
-        repeatable: bool,
-        deadline: float,
-        typical_s: float,
-        chosen_at: float,
+        order: SendOrder,
         number: int,
         started_at: float,
         selection: dict[str, Any],
     ) -> SendResult:
         try:
-            result = await self._exchange(
-                row, request, metadata, repeatable, deadline, chosen_at
-            )
+            result = await self._exchange(row, order)
             if isinstance(result.end, Reset):
                 result = dataclasses.replace(
                     result, server_ended=await self._has_ended(row)
@@ -159,13 +142,15 @@
         except Exception:
             # The request may have run; it is treated like one without a valid
             # response.
-            _LOG.exception("send failed", extra={"id": metadata.request_id})
+            _LOG.exception(
+                "send failed", extra={"id": order.metadata.request_id}
+            )
             result = SendResult(end=Incomplete(detail="unexpected error"))
         except asyncio.CancelledError:
             _LOG.info(
                 "send cancelled",
                 extra={
-                    "id": metadata.request_id,
+                    "id": order.metadata.request_id,
                     "server": row.server.name,
                     "zone": row.server.zone,
                     "ms": round(1000 * (self._loop.time() - started_at), 1),
@@ -174,8 +159,8 @@
             raise
         finally:
             row.end_send(number)
-        self._record(row, result, request, metadata, started_at, typical_s)
-        self._log(row, result, request, metadata, started_at, selection)
+        self._record(row, result, order, started_at)
+        self._log(row, result, order, started_at, selection)
         return result
 
     async def _has_ended(self, row: ServerRow) -> bool:
@@ -235,42 +220,37 @@
             return SendResult(end=Mismatched(request_id=_SEVERAL))
         return SendResult(end=end, metadata=metadata)
 
-    async def _exchange(
-        self,
-        row: ServerRow,
-        request: IncomingRequest,
-        metadata: RequestMetadata,
-        repeatable: bool,
-        deadline: float,
-        chosen_at: float,
-    ) -> SendResult:
+    async def _exchange(self, row: ServerRow, order: SendOrder) -> SendResult:
         idle_max_s = (
-            row.keep_alive_s if repeatable else UNREPEATABLE_IDLE_MAX_S
+            row.keep_alive_s if order.repeatable else UNREPEATABLE_IDLE_MAX_S
         )
         connection = row.pop_idle(self._loop.time(), idle_max_s)
         if connection is None:
-            connection = await self._connect(row, deadline)
+            connection = await self._connect(row, order.deadline)
         if isinstance(connection, NotSent):
             return SendResult(end=connection)
         try:
             now = self._loop.time()
-            remaining_s = deadline - now
+            remaining_s = order.deadline - now
             if remaining_s <= 0:
                 return SendResult(end=NotSent(detail="deadline passed"))
-            if now - chosen_at > _choice_valid_s(row, now):
+            if now - order.chosen_at > _choice_valid_s(row, now):
                 return SendResult(end=NotSent(detail="choice is too old"))
             if not row.is_usable or now < row.paused_until:
                 return SendResult(end=NotSent(detail="server is not in use"))
             is_fresh = connection.exchanges == 0
             try:
                 outgoing = self._outgoing_request(
-                    row, request, metadata, remaining_s
+                    row, order.request, order.metadata, remaining_s
                 )
             except UnicodeError:
                 return SendResult(end=NotSent(detail="head cannot be sent"))
             end = await connection.exchange(outgoing, remaining_s)
             result = self._interpret(
-                row, end, request_id=metadata.request_id, is_fresh=is_fresh
+                row,
+                end,
+                request_id=order.metadata.request_id,
+                is_fresh=is_fresh,
             )
             if isinstance(result.end, Mismatched | Incomplete):
                 connection.abort()
@@ -368,10 +348,8 @@
         self,
         row: ServerRow,
         result: SendResult,
-        request: IncomingRequest,
-        metadata: RequestMetadata,
+        order: SendOrder,
         started_at: float,
-        typical_s: float,
     ) -> None:
         now = self._loop.time()
         response = result.metadata
@@ -382,7 +360,7 @@
                 apply_statements(
                     row,
                     response,
-                    request_id=metadata.request_id,
+                    request_id=order.metadata.request_id,
                     sent_at=started_at,
                     now=now,
                 )
@@ -393,25 +371,30 @@
             if result.end.detail.startswith(CONNECT_FAILED):
                 eject(row.health, now)
         else:
-            record(row.health, result.end, now - started_at, typical_s, now)
+            record(
+                row.health,
+                result.end,
+                now - started_at,
+                order.typical_s,
+                now,
+            )
 
     def _log(
         self,
         row: ServerRow,
         result: SendResult,
-        request: IncomingRequest,
-        metadata: RequestMetadata,
+        order: SendOrder,
         started_at: float,
-        selection: dict,
+        selection: dict[str, Any],
     ) -> None:
         now = self._loop.time()
         response = result.metadata
         _LOG.info(
             "send finished",
             extra={
-                "id": metadata.request_id,
-                "key": metadata.affinity_key,
-                "target": request.target,
+                "id": order.metadata.request_id,
+                "key": order.metadata.affinity_key,
+                "target": order.request.target,
                 "server": row.server.name,
                 "zone": row.server.zone,
                 "ms": round(1000 * (now - started_at), 1),
@@ -422,6 +405,7 @@
                 if response is not None and response.load is not None
                 else None,
                 "in_flight": row.load.in_flight,
+                "attempt": order.attempt,
                 **selection,
             },
         )
@@ -429,36 +413,3 @@
 
 def _choice_valid_s(row: ServerRow, now: float) -> float:
     return COLD_CHOICE_VALID_S if now < row.cold_until else CHOICE_VALID_S
-
-
-def _load_at_selection(row: ServerRow, now: float) -> dict:
-    """Return the load estimate at selection and the age of its report."""
-    age_s = now - row.load.reported_at
-    return {
-        "load_at_choice": round(row.load.total(now), 1),
-        "load_by_region": round(row.load.total_by_region(now), 1)
-        if row.load.has_totals(now)
-        else None,
-        "load_age_ms": round(1000 * age_s) if age_s < math.inf else None,
-    }
-
-
-def _limit_at_selection(row: ServerRow, now: float) -> dict:
-    """Return the server's limit and the own sends that count towards it."""
-    if row.limit.per_s is None:
-        return {}
-    return {
-        "limit_per_s": row.limit.per_s,
-        "limit_age_ms": round(1000 * (now - row.limit.named_at)),
-        "recent_sends": row.recent_sends.count(now),
-    }
-
-
-def _cold_at_selection(row: ServerRow, now: float) -> dict:
-    """Return how long the server is taken for cold, and the own sends."""
-    if now >= row.cold_until:
-        return {}
-    return {
-        "cold_left_ms": round(1000 * (row.cold_until - now)),
-        "recent_sends": row.recent_sends.count(now),
-    }
--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -44,6 +44,7 @@
 from chiverun.runtime.selection import queue_factor
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import Sender
+from chiverun.runtime.sending import SendOrder
 from chiverun.runtime.sending import SendResult
 from chiverun.runtime.servertable import ServerRow
 from chiverun.runtime.steeredrequest import Request
@@ -315,16 +316,16 @@
         send = Send(
             row=row, started_at=now, queue_factor=queue_factor(row, now)
         )
-        task = self._sender.start(
-            row,
-            request.incoming,
-            request.metadata,
+        order = SendOrder(
+            request=request.incoming,
+            metadata=request.metadata,
             repeatable=request.route.repeatable,
             deadline=request.deadline,
             typical_s=self._latencies.typical_s(request.route),
             chosen_at=now,
             attempt=request.sends,
         )
+        task = self._sender.start(row, order)
         request.pending[task] = send
         return True
 
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -18,6 +18,7 @@
 from chiverun.platform.headercodec import PlatformHeaderCodec
 from chiverun.runtime.sending import CHOICE_VALID_S
 from chiverun.runtime.sending import Sender
+from chiverun.runtime.sending import SendOrder
 from chiverun.runtime.sending import SendResult
 from chiverun.runtime.servertable import ServerRow
 from tests.records import make_row
@@ -125,15 +126,15 @@
             body=b"",
             arrived_at=self.loop.time(),
         )
-        return await self.sender.start(
-            row,
-            incoming,
-            PlatformHeaderCodec().request_metadata(incoming),
+        order = SendOrder(
+            request=incoming,
+            metadata=PlatformHeaderCodec().request_metadata(incoming),
             repeatable=True,
             deadline=self.loop.time() + 0.6,
             typical_s=0.1,
             chosen_at=self.loop.time() - age_s,
         )
+        return await self.sender.start(row, order)
 
     def _assert_own(self, result: SendResult, number: int) -> None:
         """Check that a response is the request's own, if there is one."""
--- a/tests/runtime/test_steering.py
+++ b/tests/runtime/test_steering.py
@@ -101,9 +101,7 @@
         sends = []
 
         class RefusesFirst:
-            def start(
-                self, row, *_args, **_kwargs
-            ) -> asyncio.Task[SendResult]:
+            def start(self, row, _order) -> asyncio.Task[SendResult]:
                 return asyncio.create_task(self._send(row))
 
             async def _send(self, row) -> SendResult:
