Count unexpected errors of sends and of received bytes

Operators saw such errors in the log only: errors while a server's response is processed or a request is sent, and those of a reader whose turn raises, did not raise chiverun_unexpected_errors, unlike those of callers' connections.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 
 import h11
-import logbook
 
 from chiverun.core.body import Body
 from chiverun.core.body import pieces_of
@@ -37,8 +36,6 @@
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.integrations.sockets import set_peer_timeout
 
-_LOG = logbook.Logger("client")
-
 # The connection fails if the peer acknowledges no data for this long.
 PEER_TIMEOUT_MS = 2000
 HEADER_BYTES_MAX = 64 * 1024
@@ -291,7 +288,7 @@
             return False
         except Exception:
             # Whoever waits for the response would wait until the deadline.
-            _LOG.exception("cannot process a response")
+            self._turns.note_error("cannot process a response")
             self._end_malformed("unexpected error")
             return False
 
--- a/chiverun/integrations/readturns.py
+++ b/chiverun/integrations/readturns.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import logbook
@@ -107,6 +108,8 @@
 
     def __init__(self, *, usage: LoopUsage | None = None) -> None:
         self.usage = usage or LoopUsage()
+        # Called with each unexpected error while bytes are processed.
+        self.count_error: Callable[[], None] = lambda: None
         # Shared by all connections, which copy what they received.
         self.buffer = memoryview(bytearray(READ_BYTES))
         # In the order of their last turns.
@@ -153,6 +156,11 @@
             self.usage.add(turn.source, now - started_at, events)
         return not has_more
 
+    def note_error(self, what: str) -> None:
+        """Count and log the exception that is being handled."""
+        self.count_error()
+        _LOG.exception(what)
+
     def enqueue(self, turn: Turn) -> None:
         """Let a reader wait for its turn."""
         self._waiting[turn] = None
@@ -189,5 +197,5 @@
             else:
                 self._waiting[turn] = None
         except Exception:
-            _LOG.exception("cannot process a peer's bytes")
+            self.note_error("cannot process a peer's bytes")
             turn.reader.abort()
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -129,6 +129,7 @@
             inbox_bytes=int(_INBOX_FRACTION * memory.limit),
         )
         self.metrics = EdgeMetrics()
+        turns.count_error = self._count_error
         self._caller_refusals = CallerRefusals(
             count=self.metrics.record_caller_refusal
         )
@@ -175,7 +176,10 @@
             offsets=self._demand.applied,
         )
         self._sender = Sender(
-            header_codec=header_codec, memory=memory, turns=turns
+            header_codec=header_codec,
+            memory=memory,
+            turns=turns,
+            count_error=self._count_error,
         )
         self._steering = Steering(
             header_codec=header_codec,
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -98,8 +99,11 @@
         header_codec: HeaderCodec,
         memory: ByteBudget,
         turns: ReadTurns | None = None,
+        count_error: Callable[[], None] = lambda: None,
     ) -> None:
         self._turns = turns
+        # Called with each unexpected error.
+        self._count_error = count_error
         self._header_codec = header_codec
         self._memory = memory
         self._loop = asyncio.get_running_loop()
@@ -142,6 +146,7 @@
         except Exception:
             # The request may have run; it is treated like one without a valid
             # response.
+            self._count_error()
             _LOG.exception(
                 "send failed", extra={"id": order.metadata.request_id}
             )
--- a/tests/integrations/test_asyncclient.py
+++ b/tests/integrations/test_asyncclient.py
@@ -235,9 +235,12 @@
         connection = await self._connect(
             await self._serve([_MATCHING_RESPONSE])
         )
+        errors = []
+        connection._turns.count_error = lambda: errors.append(1)
         end = await self._exchange(connection, matches_request=fail)
         self.assertIsInstance(end, Incomplete)
         self.assertFalse(connection.reusable)
+        self.assertEqual([1], errors)
 
     async def test_request_that_cannot_be_encoded_is_not_sent(self) -> None:
         """Guards against an error that hides that a request did not run."""
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -79,12 +79,18 @@
 
 class SendingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
+        self.errors = 0
         self.sender = Sender(
-            header_codec=PlatformHeaderCodec(), memory=ByteBudget()
+            header_codec=PlatformHeaderCodec(),
+            memory=ByteBudget(),
+            count_error=self._count_error,
         )
         self.loop = asyncio.get_running_loop()
         self.requests_read = 0
 
+    def _count_error(self) -> None:
+        self.errors += 1
+
     async def _start(self, second: list, idle: list) -> ServerRow:
         """Start a server and return the row of it.
 
@@ -296,6 +302,7 @@
             result = await self._send(row, 1)
         self.assertIsInstance(result.end, Incomplete)
         self.assertFalse(result.is_not_run)
+        self.assertEqual(1, self.errors)
         self.assertEqual((0, 0), (row.connections, row.load.in_flight))
 
     async def test_name_that_no_header_can_carry(self) -> None:
