Read ports and the length of a request by the strict parser

A platform's setting with the port '²', 99999 or 0 was accepted and failed only when the instance bound it, without a coded error. Four places checked ports by hand; they use statednumbers.is_port now, and the length of a request on the product's own interface goes through parse_whole (no change: it was bounded to 18 digits).

The counts in cli.py and public.py are an operator's or bounded by a stricter pattern, and stay.

--- a/chiverun/core/requestframe.py
+++ b/chiverun/core/requestframe.py
@@ -9,7 +9,9 @@
 import enum
 import re
 
+from chiverun.core.statednumbers import BODY_BYTES
 from chiverun.core.statednumbers import parse_size
+from chiverun.core.statednumbers import parse_whole
 
 _HEAD_END = b"\r\n\r\n"
 _LINE_END = b"\r\n"
@@ -19,7 +21,6 @@
     rb"\r\n(content-length|transfer-encoding|expect):[ \t]*([^\r\n]*)",
     re.IGNORECASE,
 )
-_LENGTH = re.compile(rb"[0-9]{1,18}")
 
 
 class Arrived(enum.Enum):
@@ -90,10 +91,11 @@
         self.expects_continue = (b"expect", b"100-continue") in fields
         framing = [row for row in fields if row[0] != b"expect"]
         match framing:
-            case [(b"content-length", value)] if _LENGTH.fullmatch(value):
-                if int(value) > self._body_bytes_max:
+            case [(b"content-length", value)]:
+                length = parse_whole(value.decode("latin-1"), BODY_BYTES)
+                if length is None or length > self._body_bytes_max:
                     return Arrived.ALL
-                self._end = body_at + int(value)
+                self._end = body_at + length
                 return Arrived.HEAD
             case [(b"transfer-encoding", b"chunked")]:
                 self._chunk_at = body_at
--- a/chiverun/core/settings.py
+++ b/chiverun/core/settings.py
@@ -11,6 +11,7 @@
 from chiverun.core.ids import Address
 from chiverun.core.ids import InstanceId
 from chiverun.core.ids import ZoneName
+from chiverun.core.statednumbers import is_port
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -244,7 +245,7 @@
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        valid = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+        valid = is_port(port)
     except ValueError:
         valid = False
     if not valid:
--- a/chiverun/core/statednumbers.py
+++ b/chiverun/core/statednumbers.py
@@ -63,6 +63,10 @@
 KEEP_ALIVE_S = StatedNumber(high=86_400, unit="s")
 
 
+# Of a record or a setting.
+PORT = StatedNumber(low=1, high=65_535, unit="")
+_PORT_DIGITS_MAX = 5
+
 # Of a record. Requests go to servers by their slots, so that one with more
 # than any server has would draw them all.
 SLOTS = StatedNumber(low=1, high=100_000, unit="slots")
@@ -111,6 +115,15 @@
     return value if value in number else None
 
 
+def is_port(text: str) -> bool:
+    """Return whether a text is the number of a port, without blanks."""
+    return (
+        len(text) <= _PORT_DIGITS_MAX
+        and _WHOLE.fullmatch(text) is not None
+        and int(text) in PORT
+    )
+
+
 def parse_size(data: bytes | bytearray) -> int | None:
     """Return the size of a chunk, None if it is none (RFC 9112, 7.1)."""
     digits = data.decode("latin-1").strip(_BLANKS + "\r")
--- a/chiverun/core/ticketcheck.py
+++ b/chiverun/core/ticketcheck.py
@@ -11,6 +11,7 @@
 from chiverun.core.errors import ResultCode
 from chiverun.core.state import apply_ticket
 from chiverun.core.state import State
+from chiverun.core.statednumbers import is_port
 from chiverun.core.ticket import encode_ticket
 from chiverun.core.ticket import KINDS
 from chiverun.core.ticket import Link
@@ -198,7 +199,7 @@
     host, _, port = record.address.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        valid = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+        valid = is_port(port)
     except ValueError:
         valid = False
     if not valid:
--- a/chiverun/platform/settings.py
+++ b/chiverun/platform/settings.py
@@ -16,6 +16,7 @@
 from chiverun.core.ids import RegionName
 from chiverun.core.ids import ZoneName
 from chiverun.core.statednumbers import CAPACITY
+from chiverun.core.statednumbers import is_port
 from chiverun.platform import values
 
 PATH_VARIABLE = "CHIVERUN_CONFIG"
@@ -142,7 +143,7 @@
 def _decode_address(body: dict, name: str) -> Address:
     text = values.field(body, name, str)
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not is_port(port):
         raise values.InvalidValueError(
             f"{name}: {text!r} is not valid; expected ip:port"
         )
--- a/chiverun/platform/values.py
+++ b/chiverun/platform/values.py
@@ -6,6 +6,8 @@
 
 from chiverun.core.headertext import is_field_value
 from chiverun.core.ids import Address
+from chiverun.core.statednumbers import is_port
+from chiverun.core.statednumbers import PORT
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _SECONDS = {"ms": 0.001, "s": 1.0}
@@ -15,9 +17,7 @@
 # waiting times stay finite.
 NUMBER_MAX = 1e12
 DURATION_MAX_S = 1e6
-_PORT_MAX = 65535
 HEADER_VALUE_LENGTH_MAX = 200
-_PORT_DIGITS = len(str(_PORT_MAX))
 
 
 class InvalidValueError(ValueError):
@@ -161,17 +161,12 @@
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        is_valid = (
-            port.isascii()
-            and port.isdigit()
-            and len(port) <= _PORT_DIGITS
-            and 0 < int(port) <= _PORT_MAX
-        )
+        is_valid = is_port(port)
     except ValueError:
         is_valid = False
     if not is_valid:
         raise InvalidValueError(
             f"{name}: {text[:80]!r} is not valid; expected ip:port with a "
-            f"port from 1 to {_PORT_MAX}"
+            f"port from {PORT.low} to {PORT.high}"
         )
     return Address(text)
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -287,3 +287,11 @@
         with self.assertRaises(ChiverunError) as caught:
             decode_settings(text)
         self.assertIs(caught.exception.code, ResultCode.SETTING_INVALID)
+
+    @params("127.0.0.1:\u00b2", "127.0.0.1:99999", "127.0.0.1:0", ":80")
+    def test_address_with_an_invalid_port(self, address) -> None:
+        """Guards against an address that fails only when it is used."""
+        listen = {**settings_body()["listen"], "front": address}
+        with self.assertRaises(ChiverunError) as caught:
+            decode_settings(json.dumps(settings_body(listen=listen)))
+        self.assertIs(caught.exception.code, ResultCode.SETTING_INVALID)
--- a/tests/core/test_statednumbers.py
+++ b/tests/core/test_statednumbers.py
@@ -7,6 +7,7 @@
 from chiverun.core.statednumbers import COLD_MS
 from chiverun.core.statednumbers import is_credible_load
 from chiverun.core.statednumbers import is_later_message
+from chiverun.core.statednumbers import is_port
 from chiverun.core.statednumbers import LIMIT_PER_S
 from chiverun.core.statednumbers import LOAD_COUNT
 from chiverun.core.statednumbers import parse_decimal
@@ -65,6 +66,16 @@
         """Guards against a size that another parser reads differently."""
         self.assertIsNone(parse_size(data))
 
+    @params(("1", True), ("65535", True), ("00080", True))
+    def test_port(self, text, expected):
+        """Guards against a port that is refused."""
+        self.assertEqual(expected, is_port(text))
+
+    @params("", "0", "65536", "-1", " 80", "80 ", "\u00b2", "7" * 5000)
+    def test_port_that_is_none(self, text):
+        """Guards against an address that fails only when it is used."""
+        self.assertFalse(is_port(text))
+
     @params((9, 9, True), (200, 9, True), (10**6, 9, False))
     def test_load(self, requests, slots, is_credible):
         """Guards against a load that keeps a server unused."""
