--- a/tests/runtime/fleet.py
+++ b/tests/runtime/fleet.py
@@ -17,6 +17,8 @@
 from chiverun.core.revisions import era_of
 from chiverun.core.revisions import make_revision
 from chiverun.core.revisions import Revision
+from chiverun.core.suspects import Fingerprint
+from chiverun.core.suspects import SuspectTable
 from chiverun.integrations.catalogstore import CatalogUnavailable
 from chiverun.integrations.catalogstore import Changes
 from chiverun.integrations.catalogstore import HistoryCompacted
@@ -27,6 +29,7 @@
 from chiverun.runtime.limitexchange import LimitExchange
 from chiverun.runtime.loadexchange import LoadExchange
 from chiverun.runtime.servertable import ServerTable
+from chiverun.runtime.suspectexchange import SuspectExchange
 from tests.records import make_row
 from tests.records import make_server
 
@@ -146,6 +149,8 @@
         self.store.write("op/config", desired_state(1))
         self.followers: dict[str, CatalogFollower] = {}
         self.exchanges: dict[str, LimitExchange] = {}
+        self.suspects: dict[str, SuspectExchange] = {}
+        self.suspect_tables: dict[str, SuspectTable] = {}
         self.tables: dict[str, ServerTable] = {}
         self.regions = regions or dict.fromkeys(zones, "r")
         self.clients: dict[str, _StoreClient] = {}
@@ -191,7 +196,7 @@
                 seeds=(),
                 on_change=lambda: None,
                 on_limits=lambda message: exchange.receive(message),
-                on_suspect=lambda message: None,
+                on_suspect=lambda message: suspects.receive(message),
                 on_demand=lambda message: demand.receive(message),
                 on_loads=lambda message: loads.receive(message),
             )
@@ -214,10 +219,16 @@
             exchange = LimitExchange(
                 servers=table, table=follower.table, peers=peers
             )
+            suspect_table = SuspectTable()
+            suspects = SuspectExchange(
+                suspects=suspect_table, table=follower.table, peers=peers
+            )
         self.clients[name] = client
         self.followers[name] = follower
         self.tables[name] = table
         self.exchanges[name] = exchange
+        self.suspects[name] = suspects
+        self.suspect_tables[name] = suspect_table
         self.demands[name] = demand
         self.loads[name] = loads
         start_at = self.clock.now + 0.3 * self._rng.random()
@@ -304,6 +315,16 @@
         live = self.followers[name].table.live(self.clock.now)
         return {machine.name for machine in live} | {name}
 
+    def blocking(self, fingerprint: Fingerprint) -> set[str]:
+        """Return the live machines that send a request no further."""
+        return {
+            name
+            for name in self.alive()
+            if self.suspect_tables[name].is_blocked(
+                fingerprint, self.clock.now
+            )
+        }
+
     def hear_limit(self, name: str, per_s: float | None) -> None:
         """Let a machine get a response of the server."""
         now = self.clock.now
