Read the count of keys by the strict parser; quote it in part

What callers saw: a request for keys with a count of 5,000 digits was refused with an answer that held all of them (5,101 bytes). The count was the last number of a caller that was parsed outside core/statednumbers.py.

Change: its range stands beside the others' form, and the answer quotes 80 characters. The same texts are accepted as before: no blanks, no leading zeros.

Evidence: tests.runtime.test_public failed before in the new check of length (1 of 10) and passes; with test_web, test_webcallers and test_webendless 97 tests pass.

--- a/chiverun/runtime/public.py
+++ b/chiverun/runtime/public.py
@@ -1,6 +1,5 @@
 """Handler of the look-up address: look-ups, keys, health and status."""
 
-import re
 import urllib.parse
 from typing import TYPE_CHECKING
 
@@ -9,6 +8,8 @@
 from chiverun.core.errors import ResultCode
 from chiverun.core.lookup import answer_lookup
 from chiverun.core.lookup import parse_client
+from chiverun.core.statednumbers import parse_whole
+from chiverun.core.statednumbers import StatedNumber
 from chiverun.core.ticket import Service
 from chiverun.integrations.web import error_response
 from chiverun.integrations.web import IncomingRequest
@@ -24,7 +25,7 @@
     from chiverun.runtime.status import StatusSources
 
 KEYS_PER_CALL_MAX = 1000
-_COUNT = re.compile("[1-9][0-9]{0,3}")
+_KEY_COUNT = StatedNumber(low=1, high=KEYS_PER_CALL_MAX, unit="keys")
 
 
 class LookupHandler:
@@ -99,10 +100,12 @@
 
     def _issue_keys(self, req: IncomingRequest) -> Response:
         text = _query(req).get("count", "1")
-        if not _COUNT.fullmatch(text) or int(text) > KEYS_PER_CALL_MAX:
+        count = parse_whole(text, _KEY_COUNT)
+        # Neither blanks nor leading zeros.
+        if count is None or text != str(count):
             raise ChiverunError(
                 ResultCode.REQUEST_MALFORMED,
-                f"count is {text!r}; valid: 1 to {KEYS_PER_CALL_MAX}",
+                f"count is {text[:80]!r}; valid: {_KEY_COUNT}",
             )
         if self._sources.plane.is_leaving:
             return error_response(
@@ -122,7 +125,7 @@
                 f"{', '.join(reasons)}; ask another instance",
             )
         identity = self._sources.plane.identity
-        keys = self._keys.issue(int(text))
+        keys = self._keys.issue(count)
         if not keys:
             return error_response(
                 503,
--- a/tests/runtime/test_public.py
+++ b/tests/runtime/test_public.py
@@ -24,6 +24,9 @@
         ("ready", "count=0", 400, ResultCode.REQUEST_MALFORMED),
         ("ready", "count=" + "9" * 5000, 400, ResultCode.REQUEST_MALFORMED),
         ("ready", "count=\u0663", 400, ResultCode.REQUEST_MALFORMED),
+        ("ready", "count=1001", 400, ResultCode.REQUEST_MALFORMED),
+        ("ready", "count=02", 400, ResultCode.REQUEST_MALFORMED),
+        ("ready", "count=+2", 400, ResultCode.REQUEST_MALFORMED),
     )
     def test_issue(self, case, query, status, code):
         """Guards against keys issued by an instance that cannot serve them."""
@@ -60,6 +63,8 @@
         )
         found = msgspec.json.decode(response.body)
         self.assertEqual(status, response.status)
+        # What a caller sent is quoted in part.
+        self.assertLess(len(response.body), 1000)
         if code is None:
             self.assertEqual(2, len(found["keys"]))
         else:
