Log which connection a send or health check used

Which process got a request follows from the age of its connection, and the logs didn't show it. Lines "send finished", "server is cold" and "health check failed" name the age of the connection and its exchanges so far; recent_sends is logged for every server, and the lines of checks tell the cold time that was known before.

--- a/chiverun/integrations/asyncclient.py
+++ b/chiverun/integrations/asyncclient.py
@@ -110,9 +110,12 @@
         self.reusable = True
         self.exchanges = 0
         self.idle_since = 0.0
+        # Event loop time at which it was established.
+        self.opened_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
+        self.opened_at = asyncio.get_running_loop().time()
         self._writer = PacedWriter(transport=transport)
         sock = transport.get_extra_info("socket")
         set_peer_timeout(sock, timeout_ms=PEER_TIMEOUT_MS)
--- a/chiverun/runtime/coldchecks.py
+++ b/chiverun/runtime/coldchecks.py
@@ -101,14 +101,23 @@
         path = routes.service(row.server.service).health_path
         started_at = self._loop.time()
         name = row.server.name
+        known_until = row.cold_until
         self._next_at[name] = started_at + FAILED_PAUSE_S
         result = await self._sender.check_health(row, path, CHECK_TIMEOUT_S)
         now = self._loop.time()
         metadata = result.metadata
+        noticed = {
+            "server": name,
+            "ms": round(1000 * (now - started_at), 1),
+            "known_cold_left_ms": round(1000 * max(0.0, known_until - now)),
+            "recent_sends": row.cold.recent_sends(now),
+            "catalog_age_ms": round(1000 * self._catalog_age_s()),
+            **result.connection,
+        }
         if metadata is None:
             _LOG.info(
                 "health check failed",
-                extra={"server": name, "reason": repr(result.end)},
+                extra={**noticed, "reason": repr(result.end)},
             )
             return
         self._next_at[name] = started_at + CHECK_PERIOD_S
@@ -120,10 +129,5 @@
             return
         _LOG.info(
             "server is cold",
-            extra={
-                "server": name,
-                "cold_left_ms": round(1000 * cold_s),
-                "recent_sends": row.cold.recent_sends(now),
-                "catalog_age_ms": round(1000 * self._catalog_age_s()),
-            },
+            extra={**noticed, "cold_left_ms": round(1000 * cold_s)},
         )
--- a/chiverun/runtime/selectionlog.py
+++ b/chiverun/runtime/selectionlog.py
@@ -1,8 +1,9 @@
-"""What log lines of sends tell of a server when it was chosen."""
+"""What log lines tell of a server and of the connection to it."""
 
 import math
 from typing import Any
 
+from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.runtime.servertable import ServerRow
 
 
@@ -12,6 +13,21 @@
         **_load_at_selection(row, now),
         **_limit_at_selection(row, now),
         **_cold_at_selection(row, now),
+        "recent_sends": row.recent_sends.count(now),
+    }
+
+
+def describe_connection(
+    connection: ClientConnection, now: float
+) -> dict[str, Any]:
+    """Return the age of a connection and its exchanges so far, 0 if new.
+
+    A connection leads to the process that accepted it, so its age tells
+    whether a process that has started since can have got a request.
+    """
+    return {
+        "connection_age_ms": round(1000 * (now - connection.opened_at)),
+        "connection_exchanges": connection.exchanges,
     }
 
 
@@ -28,21 +44,17 @@
 
 
 def _limit_at_selection(row: ServerRow, now: float) -> dict:
-    """Return the server's limit and the own sends that count towards it."""
+    """Return the limit that the server names, if any."""
     if row.limit.per_s is None:
         return {}
     return {
         "limit_per_s": row.limit.per_s,
         "limit_age_ms": round(1000 * (now - row.limit.named_at)),
-        "recent_sends": row.recent_sends.count(now),
     }
 
 
 def _cold_at_selection(row: ServerRow, now: float) -> dict:
-    """Return how long the server is taken for cold, and the own sends."""
+    """Return how long the server is taken for cold, if it is."""
     if now >= row.cold_until:
         return {}
-    return {
-        "cold_left_ms": round(1000 * (row.cold_until - now)),
-        "recent_sends": row.recent_sends.count(now),
-    }
+    return {"cold_left_ms": round(1000 * (row.cold_until - now))}
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -33,6 +33,7 @@
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
+from chiverun.runtime.selectionlog import describe_connection
 from chiverun.runtime.selectionlog import describe_selection
 from chiverun.runtime.serverstatements import apply_statements
 from chiverun.runtime.servertable import MISDIRECTED_PAUSE_S
@@ -59,12 +60,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SendResult:
-    """Result of a send and the metadata of its response."""
+    """Result of a send and the metadata of its response.
+
+    `connection` describes the connection that carried it, for log lines.
+    """
 
     end: ExchangeEnd
     metadata: ResponseMetadata | None = None
     # Whether the server ended while it ran the request.
     server_ended: bool = False
+    connection: dict[str, Any] = dataclasses.field(default_factory=dict)
 
     @property
     def is_not_run(self) -> bool:
@@ -199,6 +204,7 @@
         headers = self._header_codec.request_headers(
             [("Host", row.server.address)], row.server, timeout_s
         )
+        described = describe_connection(connection, self._loop.time())
         try:
             end = await connection.exchange(
                 OutgoingRequest(
@@ -216,14 +222,15 @@
         finally:
             row.release(connection, self._loop.time())
         if not isinstance(end, Answered):
-            return SendResult(end=end)
+            return SendResult(end=end, connection=described)
         metadata = self._header_codec.response_metadata(
             end.status, list(end.headers)
         )
         if metadata.is_mixed:
             connection.abort()
-            return SendResult(end=Mismatched(request_id=_SEVERAL))
-        return SendResult(end=end, metadata=metadata)
+            end = Mismatched(request_id=_SEVERAL)
+            return SendResult(end=end, connection=described)
+        return SendResult(end=end, metadata=metadata, connection=described)
 
     async def _exchange(self, row: ServerRow, order: SendOrder) -> SendResult:
         idle_max_s = (
@@ -250,6 +257,7 @@
                 )
             except UnicodeError:
                 return SendResult(end=NotSent(detail="head cannot be sent"))
+            described = describe_connection(connection, now)
             end = await connection.exchange(outgoing, remaining_s)
             result = self._interpret(
                 row,
@@ -259,7 +267,7 @@
             )
             if isinstance(result.end, Mismatched | Incomplete):
                 connection.abort()
-            return result
+            return dataclasses.replace(result, connection=described)
         except BaseException:
             connection.abort()
             raise
@@ -412,6 +420,7 @@
                 "in_flight": row.load.in_flight,
                 "attempt": order.attempt,
                 **selection,
+                **result.connection,
             },
         )
 
--- a/tests/runtime/test_coldchecks.py
+++ b/tests/runtime/test_coldchecks.py
@@ -13,6 +13,7 @@
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import TimedOut
 from chiverun.platform.headercodec import PlatformHeaderCodec
+from chiverun.runtime.coldchecks import CHECK_TIMEOUT_S
 from chiverun.runtime.coldchecks import ColdChecks
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import SendResult
@@ -30,6 +31,8 @@
 )
 # A cold server must be known by then: four times its rate has arrived.
 _KNOWN_S = 0.3
+_COLD_LINE = "server is cold"
+_FAILED_LINE = "health check failed"
 
 
 class _Sender:
@@ -50,6 +53,7 @@
         return SendResult(
             end=Answered(status=200, headers=headers, body=b""),
             metadata=PlatformHeaderCodec().response_metadata(200, headers),
+            connection={"connection_age_ms": 0, "connection_exchanges": 0},
         )
 
 
@@ -100,6 +104,19 @@
         row = self.table.rows[_COLD]
         self.assertGreater(row.cold_until, self.loop.time())
 
+    async def test_log_tells_what_was_known_before_the_check(self) -> None:
+        """Guards against logs that hide by what a new start was noticed."""
+        with logbook.TestHandler().applicationbound() as logs:
+            await self._run(1.0, 100.0)
+        cold = [x.extra for x in logs.records if x.message == _COLD_LINE]
+        failed = [x.extra for x in logs.records if x.message == _FAILED_LINE]
+        self.assertEqual(0, cold[0]["known_cold_left_ms"])
+        self.assertEqual(0, cold[0]["connection_exchanges"])
+        self.assertEqual(10_000, cold[0]["catalog_age_ms"])
+        self.assertEqual(set(_SILENT), {extra["server"] for extra in failed})
+        self.assertIn("TimedOut", failed[0]["reason"])
+        self.assertGreaterEqual(failed[0]["ms"], 1000 * CHECK_TIMEOUT_S)
+
     async def test_silent_servers_are_checked_seldom(self) -> None:
         """Guards against connections to servers that cannot be reached."""
         await self._run(2.0, 100.0)
--- a/tests/runtime/test_sending.py
+++ b/tests/runtime/test_sending.py
@@ -21,6 +21,7 @@
 from chiverun.runtime.sending import SendOrder
 from chiverun.runtime.sending import SendResult
 from chiverun.runtime.servertable import ServerRow
+from tests.ports import free_address
 from tests.records import make_row
 from tests.records import make_server
 
@@ -269,9 +270,40 @@
             if record.message == "send finished"
         )
         self.assertNotIn("cold_left_ms", warm)
+        self.assertEqual(1, warm["recent_sends"])
         self.assertAlmostEqual(2000, cold["cold_left_ms"], delta=500)
         self.assertEqual(2, cold["recent_sends"])
 
+    async def test_log_tells_whether_a_send_used_a_new_connection(
+        self,
+    ) -> None:
+        """Guards against logs that hide which process got a request."""
+        row = await self._start([_response(2)], [])
+        with logbook.TestHandler().applicationbound() as logs:
+            await self._send(row, 1)
+            await asyncio.sleep(_PAUSE_S)
+            await self._send(row, 2)
+            result = await self.sender.check_health(row, "/h", _TIMEOUT_S)
+        new, used = (
+            record.extra
+            for record in logs.records
+            if record.message == "send finished"
+        )
+        self.assertEqual(0, new["connection_exchanges"])
+        self.assertLess(new["connection_age_ms"], 1000 * _PAUSE_S)
+        self.assertEqual(1, used["connection_exchanges"])
+        self.assertGreaterEqual(used["connection_age_ms"], 1000 * _PAUSE_S)
+        self.assertEqual(2, result.connection["connection_exchanges"])
+
+    async def test_log_of_a_refused_connection(self) -> None:
+        """Guards against a log that shows the age of no connection."""
+        row = make_row(make_server(address=free_address()))
+        with logbook.TestHandler().applicationbound() as logs:
+            await self._send(row, 1)
+        (record,) = logs.records
+        self.assertNotIn("connection_age_ms", record.extra)
+        self.assertIn("ConnectionRefusedError", record.extra["detail"])
+
     async def test_choice_of_a_cold_server_is_sent_at_once_or_not(
         self,
     ) -> None:
