--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -27,13 +27,15 @@
     """Faults of calls.
 
     `refuse_with` is the status of every call, unless 0; `silent` leaves
-    every call without a response; `delay_s` delays each response;
+    every call without a response; `reset` closes the connection of every
+    call without a response; `delay_s` delays each response;
     `lose_writes` is the number of writes that are applied without a
     response.
     """
 
     refuse_with: int = 0
     silent: bool = False
+    reset: bool = False
     delay_s: float = 0.0
     lose_writes: int = 0
 
@@ -104,6 +106,9 @@
         faults = self.faults
         if faults.silent:
             await asyncio.Event().wait()
+        if faults.reset:
+            # The listener closes the connection of a cancelled call.
+            raise asyncio.CancelledError
         await asyncio.sleep(faults.delay_s)
         if faults.refuse_with:
             return _response(faults.refuse_with, {"error": "refused"})
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -3,13 +3,16 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import json
+import socket
 
 from chiverun.core.ids import Address
 from chiverun.integrations.network import split_address
 
 HEALTH_PATH = "/health"
 DEADLY_RUN_S = 0.05
+_BACKLOG = 100
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -51,6 +54,44 @@
     load: bytes = b"0,0,4,100"
 
 
+class RestartKind(enum.Enum):
+    """What callers see of the connections to a process that ends."""
+
+    RESET = "reset"
+    # As when a machine loses power: no packet tells that they have ended.
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(eq=False, kw_only=True)
+class UpstreamProcess:
+    """One of the processes that have run under an upstream's name.
+
+    Times are in event loop time. `arrived_at` has those of the requests,
+    without health checks.
+    """
+
+    started_at: float = float("-inf")
+    cold_until: float = float("-inf")
+    ended_at: float = float("inf")
+    end_kind: RestartKind = RestartKind.RESET
+    arrived_at: list[float] = dataclasses.field(default_factory=list)
+    # Kept here: tasks that wait for what nothing refers to are discarded.
+    never: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def cold_arrivals(self) -> list[float]:
+        """Arrivals while the process was cold."""
+        return [at for at in self.arrived_at if at < self.cold_until]
+
+    async def is_running(self) -> bool:
+        """Return whether the process runs; wait for ever in a silent end."""
+        if self.ended_at == float("inf"):
+            return True
+        if self.end_kind is RestartKind.SILENT:
+            await self.never.wait()
+        return False
+
+
 class Upstream:
     """Server that counts requests by id and echoes each id."""
 
@@ -74,6 +115,8 @@
         self.arrived_at: list[float] = []
         self.health_checks = 0
         self.has_ended = False
+        # The last one is the present one.
+        self.processes = [UpstreamProcess()]
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -94,8 +137,13 @@
 
     async def start(self) -> None:
         """Listen at the address."""
-        host, port = split_address(self.address)
-        self._server = await asyncio.start_server(self._serve, host, port)
+        # Bound before the first wait: a restart without a pause refuses no
+        # connection.
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(split_address(self.address))
+        sock.listen(_BACKLOG)
+        self._server = await asyncio.start_server(self._serve, sock=sock)
 
     def stop(self) -> None:
         """Stop listening; open connections stay open."""
@@ -110,16 +158,49 @@
     def end(self) -> None:
         """End as a crashed process does: all connections break."""
         self.has_ended = True
+        self._end_process(RestartKind.RESET)
+
+    async def restart(
+        self,
+        *,
+        down_s: float,
+        cold_s: float,
+        kind: RestartKind = RestartKind.RESET,
+    ) -> UpstreamProcess:
+        """Start another process under the name and the address.
+
+        It listens `down_s` after the present one has ended, and is cold for
+        `cold_s` from then on. The kernel resets what it has not accepted yet,
+        as for a process that ends.
+        """
+        self._end_process(kind)
+        if down_s:
+            await asyncio.sleep(down_s)
+        now = asyncio.get_running_loop().time()
+        process = UpstreamProcess(started_at=now, cold_until=now + cold_s)
+        self.processes.append(process)
+        await self.start()
+        return process
+
+    def _end_process(self, kind: RestartKind) -> None:
+        process = self.processes[-1]
+        process.ended_at = asyncio.get_running_loop().time()
+        process.end_kind = kind
         self.stop()
         for writer in self._writers:
-            writer.transport.abort()
+            if kind is RestartKind.RESET:
+                writer.transport.abort()
+            else:
+                writer.transport.pause_reading()
+        self._writers.clear()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        process = self.processes[-1]
         try:
-            while await self._exchange(reader, writer):
+            while await self._exchange(process, reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -128,7 +209,10 @@
             writer.close()
 
     async def _exchange(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        process: UpstreamProcess,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         request_line, *rows = head.strip().split("\r\n")
@@ -137,16 +221,19 @@
             for name, _, value in (row.partition(":") for row in rows)
         }
         body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if not await process.is_running():
+            return False
         if request_line.split(" ")[1] == HEALTH_PATH:
             self.health_checks += 1
             if self.faults.health_answer is not None:
                 writer.write(self.faults.health_answer)
                 await self._send_endless(writer, self.faults)
                 return False
-            writer.write(self._health_response())
+            writer.write(self._health_response(process))
             return True
         request_id = headers.get("x-chiverun-request-id", "")
         self.arrived_at.append(asyncio.get_running_loop().time())
+        process.arrived_at.append(self.arrived_at[-1])
         expected = headers.get("x-chiverun-expect-instance", self.name)
         if expected != self.name:
             writer.write(_response(421, request_id, b"", b""))
@@ -169,6 +256,8 @@
             return False
         if not await self._work(reader, request_id, faults) or faults.reset:
             return False
+        if not await process.is_running():
+            return False
         if faults.answer is not None:
             writer.write(faults.answer)
             await self._send_endless(writer, faults)
@@ -201,10 +290,14 @@
         )
         return self.spoilt if is_spoilt else self.faults
 
-    def _health_response(self) -> bytes:
+    def _health_response(self, process: UpstreamProcess) -> bytes:
         extra = f"X-Chiverun-Instance-Id: {self.name}\r\n"
-        if self.faults.cold_ms is not None:
-            extra += f"X-Chiverun-Cold-Ms: {self.faults.cold_ms}\r\n"
+        cold_ms = self.faults.cold_ms
+        left_s = process.cold_until - asyncio.get_running_loop().time()
+        if cold_ms is None and left_s > 0:
+            cold_ms = round(1000 * left_s)
+        if cold_ms is not None:
+            extra += f"X-Chiverun-Cold-Ms: {cold_ms}\r\n"
         return _response(200, "", b"", extra.encode())
 
     def _write(
