Hold servers that started again unseen to the rate of a cold one

Cause: what is known of a server is kept by its name, and only its record told that the process is another one. The record is late by 0.3 to 0.8 s with a healthy store, and by as long as an outage or a cut lasts.

Change: a connection ends with the process that accepted it. Each row knows until when its process is known, and with it which connections lead to it. On others, a request is sent within this instance's part of a cold server's rate, or after the server has been asked on that connection; requests that wait for the same server share a check. Over all instances an unseen process gets at most int(0.75 x R) of the R requests that it tolerates in a second, without any news. A refused connection or a new cold time is told to the others at once. The row of a server is kept when its process changes; what permits sends ends with the first sign, what restrains them with the record. A response to an earlier process is not applied to the next one.

Why it works: a send reaches a new process on a new connection only, and none of these is used unchecked beyond the part. See docs/design/serverprocesses.md.

One check is replaced: with 40 requests a second and fresh news, test_edge_cold expected no health check. An instance must ask each process once, since nothing else tells it that a process is warm; the check is now for exactly one. The fuzz test's server answers health checks soundly, so that its odd bytes still meet requests.

--- a/chiverun/core/coldlimit.py
+++ b/chiverun/core/coldlimit.py
@@ -36,6 +36,9 @@
         self._machine = machine
         self._full_until = full_until
         self._sends = WindowCount(window_s=COLD_WINDOW_S)
+        # Sends to the server while it was cold, or to a process of it that
+        # was not known.
+        self._restricted = WindowCount(window_s=COLD_WINDOW_S)
 
     def record(self, now: float) -> None:
         """Count a send, whether the server is known to be cold or not.
@@ -44,6 +47,10 @@
         """
         self._sends.add(now)
 
+    def record_restricted(self, now: float) -> None:
+        """Count a send to a cold server or to an unknown process of it."""
+        self._restricted.add(now)
+
     def recent_sends(self, now: float) -> int:
         """Return the sends within the window that ends at `now`."""
         return self._sends.count(now)
@@ -62,9 +69,28 @@
         machines : Collection[str]
             Names of all machines that share the limit.
         """
+        return self._has_room(self._sends, now, per_s, machines)
+
+    def allows_unknown(
+        self, now: float, per_s: float, machines: Collection[str]
+    ) -> bool:
+        """Return whether a send to an unknown process is within the part.
+
+        Parameters are those of `allows`. Sends to a warm process that is
+        known do not count: none of them reaches another one.
+        """
+        return self._has_room(self._restricted, now, per_s, machines)
+
+    def _has_room(
+        self,
+        sends: WindowCount,
+        now: float,
+        per_s: float,
+        machines: Collection[str],
+    ) -> bool:
         if now < self._full_until:
             return False
-        return self.recent_sends(now) < self._part(per_s, machines)
+        return sends.count(now) < self._part(per_s, machines)
 
     def _part(self, per_s: float, machines: Collection[str]) -> int:
         """Return how many sends per window this machine may make."""
--- a/chiverun/core/coldtime.py
+++ b/chiverun/core/coldtime.py
@@ -35,6 +35,8 @@
     recorded_until: float = float("-inf")
     # Servers may have gone cold in a zone that got no requests.
     returned_until: float = float("-inf")
+    # Other machines have asked the server.
+    told_until: float = float("-inf")
     _checked: _StatedTime = dataclasses.field(default_factory=_StatedTime)
     _answered: _StatedTime = dataclasses.field(default_factory=_StatedTime)
 
@@ -44,6 +46,7 @@
         return max(
             self.recorded_until,
             self.returned_until,
+            self.told_until,
             self._checked.until,
             self._answered.until,
         )
@@ -54,6 +57,10 @@
         """Apply the answer to a health check; 0 if it names no cold time."""
         self._checked.apply(cold_s, sent_at=sent_at, now=now)
 
+    def apply_news(self, cold_s: float, *, now: float) -> None:
+        """Apply what another machine has heard of the server."""
+        self.told_until = max(self.told_until, now + cold_s)
+
     def apply_answer(
         self, cold_s: float, *, sent_at: float, now: float
     ) -> None:
--- a/chiverun/core/edgemessages.py
+++ b/chiverun/core/edgemessages.py
@@ -18,6 +18,7 @@
 from chiverun.core.statednumbers import AGE_S
 from chiverun.core.statednumbers import ARRIVALS
 from chiverun.core.statednumbers import CLOCK_S
+from chiverun.core.statednumbers import COLD_LEFT_S
 from chiverun.core.statednumbers import DEMAND_PER_S
 from chiverun.core.statednumbers import IN_FLIGHT
 from chiverun.core.statednumbers import LAPSE_S
@@ -102,6 +103,21 @@
     reports: list[LimitReport]
 
 
+class ProcessReport(msgspec.Struct, frozen=True, kw_only=True, tag="n"):
+    """A sign that another process answers under a server's name.
+
+    `started_ms` is the start time that the sender's record names. `cold_s` is
+    how long the process stays cold, None if nothing listened at the server's
+    address; `age_s` is the time since the sign.
+    """
+
+    sender: InstanceId
+    server: ServerName
+    started_ms: int
+    cold_s: Annotated[float, COLD_LEFT_S.meta] | None
+    age_s: Annotated[float, AGE_S.meta]
+
+
 # A report names no more ends, and no longer fingerprint.
 REPORT_ENDS_MAX = 8
 FINGERPRINT_BYTES_MAX = 64
@@ -292,6 +308,7 @@
     | Snapshot
     | LimitReports
     | SuspectReport
+    | ProcessReport
     | QuotaReport
     | QuotaGrant
     | DemandMessage
--- a/chiverun/core/loads.py
+++ b/chiverun/core/loads.py
@@ -77,6 +77,14 @@
         foreign = self.foreign * self._remaining(now)
         return self.in_flight + self.regional + foreign
 
+    def forget_reports(self) -> None:
+        """Forget what was reported of a process that has ended."""
+        self.others = 0.0
+        self.reported_at = float("-inf")
+        self.regional = 0.0
+        self.regional_at = float("-inf")
+        self.foreign = 0.0
+
     def record_run(self, ratio: float) -> None:
         """Record a run time relative to what is usual for its route."""
         sample = min(RUN_RATIO_MAX, max(RUN_RATIO_MIN, ratio))
--- a/chiverun/runtime/edge.py
+++ b/chiverun/runtime/edge.py
@@ -39,6 +39,7 @@
 from chiverun.integrations.peers import ZmqPeers
 from chiverun.integrations.readturns import ReadTurns
 from chiverun.runtime.coldchecks import ColdChecks
+from chiverun.runtime.coldshares import ColdShares
 from chiverun.runtime.demandexchange import DemandExchange
 from chiverun.runtime.directory import Directory
 from chiverun.runtime.edgemetrics import EdgeMetrics
@@ -47,9 +48,11 @@
 from chiverun.runtime.limitexchange import LimitExchange
 from chiverun.runtime.loadexchange import LoadExchange
 from chiverun.runtime.loopwatch import LoopWatch
+from chiverun.runtime.processchecks import ProcessChecks
 from chiverun.runtime.quotaexchange import QuotaExchange
 from chiverun.runtime.selection import Selector
 from chiverun.runtime.sending import Sender
+from chiverun.runtime.serverprocesses import ServerProcesses
 from chiverun.runtime.servertable import ServerTable
 from chiverun.runtime.steering import Steering
 from chiverun.runtime.stopping import StopProgress
@@ -122,6 +125,7 @@
             on_change=self._apply_catalog,
             on_limits=lambda message: self._limits.receive(message),
             on_suspect=lambda message: self._suspects.receive(message),
+            on_process=lambda message: self._processes.receive(message),
             on_quota=lambda message: self._quotas.receive(message),
             on_demand=self._receive_demand,
             on_loads=self._receive_loads,
@@ -175,11 +179,24 @@
             region_zones=self._region_zones,
             offsets=self._demand.applied,
         )
+        self._processes = ServerProcesses(
+            servers=self._servers,
+            table=self.follower.table,
+            peers=self._peers,
+        )
         self._sender = Sender(
             header_codec=header_codec,
             memory=memory,
             turns=turns,
             count_error=self._count_error,
+            processes=self._processes,
+            checks=ProcessChecks(
+                shares=ColdShares(
+                    bounds=cfg.bounds, fleet=self.follower.table.fleet
+                ),
+                processes=self._processes,
+                routes=lambda: self._steering.routes,
+            ),
         )
         self._steering = Steering(
             header_codec=header_codec,
--- a/chiverun/runtime/follower.py
+++ b/chiverun/runtime/follower.py
@@ -21,6 +21,7 @@
 from chiverun.core.edgemessages import LimitReports
 from chiverun.core.edgemessages import LoadMessage
 from chiverun.core.edgemessages import LoadReport
+from chiverun.core.edgemessages import ProcessReport
 from chiverun.core.edgemessages import Pull
 from chiverun.core.edgemessages import QuotaGrant
 from chiverun.core.edgemessages import QuotaReport
@@ -83,6 +84,7 @@
         on_change: Callable[[], None],
         on_limits: Callable[[LimitReports], None],
         on_suspect: Callable[[SuspectReport], None],
+        on_process: Callable[[ProcessReport], None] = lambda message: None,
         on_quota: Callable[[QuotaReport | QuotaGrant], None] | None = None,
         on_demand: Callable[[DemandMessage], None] = lambda message: None,
         on_loads: Callable[[LoadMessage], None] = lambda message: None,
@@ -102,6 +104,7 @@
         self._on_change = on_change
         self._on_limits = on_limits
         self._on_suspect = on_suspect
+        self._on_process = on_process
         self._on_quota = on_quota
         self._on_demand = on_demand
         self._on_loads = on_loads
@@ -389,6 +392,8 @@
                 self._on_limits(message)
             case SuspectReport():
                 self._on_suspect(message)
+            case ProcessReport():
+                self._on_process(message)
             case QuotaReport() | QuotaGrant():
                 if self._on_quota is not None:
                     self._on_quota(message)
--- a/chiverun/runtime/selection.py
+++ b/chiverun/runtime/selection.py
@@ -24,6 +24,7 @@
 from chiverun.core.placement import zone_first
 from chiverun.core.regiondemand import ShareOffsets
 from chiverun.core.regiondemand import shifted_shares
+from chiverun.runtime.coldshares import ColdShares
 from chiverun.runtime.limitshares import LimitShares
 from chiverun.runtime.servertable import CONNECTIONS_FRACTION
 from chiverun.runtime.servertable import ServerRow
@@ -115,8 +116,8 @@
         self._zone = zone
         self._region_zones = region_zones
         self._regions = regions
-        self._bounds = bounds
         self._fleet = fleet
+        self._cold_shares = ColdShares(bounds=bounds, fleet=fleet)
         self._limit_shares = LimitShares(
             table=table, machine=machine, regions=regions, fleet=fleet
         )
@@ -336,29 +337,14 @@
     ) -> bool:
         if now >= row.cold_until or spec is None:
             return True
-        return self._is_within_cold_part(row, spec, now)
+        return self._cold_shares.allows(row, spec, now)
 
     def exceeds_cold_part(
         self, row: ServerRow, spec: ServiceSpec, now: float
     ) -> bool:
         """Return whether a server gets more than it may while it is cold."""
         is_used = row.cold.recent_sends(now) > 0
-        return is_used and not self._is_within_cold_part(row, spec, now)
-
-    def _is_within_cold_part(
-        self, row: ServerRow, spec: ServiceSpec, now: float
-    ) -> bool:
-        per_s = (
-            spec.cold_per_s * self._bounds.cold_excess
-            + self._bounds.cold_extra
-        )
-        # Only the machines of its zone share a cold server's rate, since most
-        # requests for it come from there. A zone without any is shared by all.
-        fleet = self._fleet()
-        zone = row.server.zone
-        senders = {m.name for m in fleet if m.zone == zone}
-        senders = senders or {m.name for m in fleet}
-        return row.cold.allows(now, per_s, senders)
+        return is_used and not self._cold_shares.allows(row, spec, now)
 
 
 def _sooner(first: LimitReached | None, other: LimitReached) -> LimitReached:
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -9,6 +9,7 @@
 import logbook
 
 from chiverun.core.bytebudget import ByteBudget
+from chiverun.core.catalog import Server
 from chiverun.core.coldlimit import COLD_WINDOW_S
 from chiverun.core.exchange import Answered
 from chiverun.core.exchange import ExchangeEnd
@@ -33,9 +34,12 @@
 from chiverun.runtime.headercodec import HeaderCodec
 from chiverun.runtime.headercodec import RequestMetadata
 from chiverun.runtime.headercodec import ResponseMetadata
+from chiverun.runtime.processchecks import ProcessChecks
 from chiverun.runtime.selectionlog import describe_connection
 from chiverun.runtime.selectionlog import describe_selection
+from chiverun.runtime.serverprocesses import ServerProcesses
 from chiverun.runtime.serverstatements import apply_statements
+from chiverun.runtime.servertable import is_same_process
 from chiverun.runtime.servertable import MISDIRECTED_PAUSE_S
 from chiverun.runtime.servertable import ServerRow
 
@@ -105,7 +109,12 @@
         memory: ByteBudget,
         turns: ReadTurns | None = None,
         count_error: Callable[[], None] = lambda: None,
+        processes: ServerProcesses | None = None,
+        checks: ProcessChecks | None = None,
     ) -> None:
+        self._processes = processes
+        # Without checks, requests are sent on any connection.
+        self._checks = checks
         self._turns = turns
         # Called with each unexpected error.
         self._count_error = count_error
@@ -124,11 +133,12 @@
         """
         number = next(self._numbers)
         started_at = self._loop.time()
+        server = row.server
         row.recent_sends.add(started_at)
         selection = describe_selection(row, started_at)
         row.begin_send(number, started_at)
         task = self._loop.create_task(
-            self._send(row, order, number, started_at, selection)
+            self._send(row, server, order, number, started_at, selection)
         )
         # A task that is cancelled before it runs ends nothing itself.
         task.add_done_callback(lambda _: row.end_send(number))
@@ -137,6 +147,7 @@
     async def _send(
         self,
         row: ServerRow,
+        server: Server,
         order: SendOrder,
         number: int,
         started_at: float,
@@ -169,7 +180,8 @@
             raise
         finally:
             row.end_send(number)
-        self._record(row, result, order, started_at)
+        if is_same_process(server, row.server):
+            self._record(row, result, order, started_at)
         self._log(row, result, order, started_at, selection)
         return result
 
@@ -185,6 +197,8 @@
                 body_bytes_max=0,
             )
         except ConnectionRefusedError:
+            if self._processes is not None:
+                self._processes.record_refusal(row)
             return True
         except (OSError, TimeoutError):
             return False
@@ -201,6 +215,29 @@
             connection = await self._connect(row, now + timeout_s)
         if isinstance(connection, NotSent):
             return SendResult(end=connection)
+        sent_at = self._loop.time()
+        try:
+            result = await self._ask_health(row, connection, path, timeout_s)
+        finally:
+            row.release(connection, self._loop.time())
+        metadata = result.metadata
+        if (
+            self._processes is not None
+            and metadata is not None
+            and metadata.server == row.server.name
+        ):
+            self._processes.record_health(
+                row, metadata, opened_at=connection.opened_at, sent_at=sent_at
+            )
+        return result
+
+    async def _ask_health(
+        self,
+        row: ServerRow,
+        connection: ClientConnection,
+        path: str,
+        timeout_s: float,
+    ) -> SendResult:
         headers = self._header_codec.request_headers(
             [("Host", row.server.address)], row.server, timeout_s
         )
@@ -219,8 +256,6 @@
         except BaseException:
             connection.abort()
             raise
-        finally:
-            row.release(connection, self._loop.time())
         if not isinstance(end, Answered):
             return SendResult(end=end, connection=described)
         metadata = self._header_codec.response_metadata(
@@ -232,6 +267,16 @@
             return SendResult(end=end, connection=described)
         return SendResult(end=end, metadata=metadata, connection=described)
 
+    async def _ask_process(
+        self,
+        row: ServerRow,
+        connection: ClientConnection,
+        path: str,
+        timeout_s: float,
+    ) -> ResponseMetadata | None:
+        result = await self._ask_health(row, connection, path, timeout_s)
+        return result.metadata
+
     async def _exchange(self, row: ServerRow, order: SendOrder) -> SendResult:
         idle_max_s = (
             row.keep_alive_s if order.repeatable else UNREPEATABLE_IDLE_MAX_S
@@ -242,6 +287,8 @@
         if isinstance(connection, NotSent):
             return SendResult(end=connection)
         try:
+            if not await self._is_admitted(row, connection, order.deadline):
+                return SendResult(end=NotSent(detail="process is not known"))
             now = self._loop.time()
             remaining_s = order.deadline - now
             if remaining_s <= 0:
@@ -258,6 +305,7 @@
             except UnicodeError:
                 return SendResult(end=NotSent(detail="head cannot be sent"))
             described = describe_connection(connection, now)
+            sent_at = self._loop.time()
             end = await connection.exchange(outgoing, remaining_s)
             result = self._interpret(
                 row,
@@ -267,6 +315,13 @@
             )
             if isinstance(result.end, Mismatched | Incomplete):
                 connection.abort()
+            elif result.metadata is not None:
+                row.process.apply_response(
+                    connection.opened_at,
+                    sent_at=sent_at,
+                    now=self._loop.time(),
+                    cold_start_s=row.cold_start_s,
+                )
             return dataclasses.replace(result, connection=described)
         except BaseException:
             connection.abort()
@@ -274,6 +329,16 @@
         finally:
             row.release(connection, self._loop.time())
 
+    async def _is_admitted(
+        self, row: ServerRow, connection: ClientConnection, deadline: float
+    ) -> bool:
+        if self._checks is None:
+            return True
+        remaining_s = deadline - self._loop.time()
+        return await self._checks.admit(
+            row, connection, self._ask_process, remaining_s
+        )
+
     async def _connect(
         self, row: ServerRow, deadline: float
     ) -> ClientConnection | NotSent:
@@ -290,6 +355,8 @@
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             # Also for an address that no connection can have.
             row.connections -= 1
+            if self._processes and isinstance(exc, ConnectionRefusedError):
+                self._processes.record_refusal(row)
             return NotSent(detail=f"{CONNECT_FAILED}: {exc!r}")
         except BaseException:
             row.connections -= 1
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -23,6 +23,8 @@
 from chiverun.core.replica import Replica
 from chiverun.core.serverlimit import LimitBucket
 from chiverun.core.serverlimit import NamedLimit
+from chiverun.core.serverprocess import KnownProcess
+from chiverun.core.serverprocess import ProcessSign
 from chiverun.core.statednumbers import cold_limit_s
 from chiverun.integrations.asyncclient import ClientConnection
 from chiverun.runtime.connectionheaders import KEEP_ALIVE_DEFAULT_S
@@ -36,8 +38,8 @@
 MISDIRECTED_PAUSE_S = 3.0
 # Longer than a server takes to leave, and than its record stays away.
 LEAVING_MEMORY_S = 120.0
-# Limit of a server's cold time while its service is not known.
-COLD_LIMIT_DEFAULT_S = 20.0
+# Cold time of a server's start while its service is not known.
+COLD_START_DEFAULT_S = 10.0
 # Window of the count of own sends that is logged beside a server's limit.
 RECENT_SENDS_WINDOW_S = 4.0
 
@@ -50,6 +52,7 @@
     region: RegionName
     health: ServerHealth
     cold: ColdLimit
+    process: KnownProcess = dataclasses.field(default_factory=KnownProcess)
     load: LoadEstimate = dataclasses.field(default_factory=LoadEstimate)
     limit: NamedLimit = dataclasses.field(default_factory=NamedLimit)
     bucket: LimitBucket = dataclasses.field(default_factory=LimitBucket)
@@ -57,8 +60,8 @@
         default_factory=lambda: WindowCount(window_s=RECENT_SENDS_WINDOW_S)
     )
     cold_time: ColdTime = dataclasses.field(default_factory=ColdTime)
-    # The server cannot stay cold for longer, whatever it says.
-    cold_limit_s: float = COLD_LIMIT_DEFAULT_S
+    # How long a process of the server is cold after its start.
+    cold_start_s: float = COLD_START_DEFAULT_S
     misdirected_until: float = float("-inf")
     # The server wants no requests of this machine before.
     paused_until: float = float("-inf")
@@ -71,6 +74,8 @@
     idle: collections.deque[ClientConnection] = dataclasses.field(
         default_factory=collections.deque
     )
+    # Connections that were opened before lead to a process that has ended.
+    opened_since: float = float("-inf")
     connections: int = 0
     keep_alive_s: float = KEEP_ALIVE_DEFAULT_S
 
@@ -79,6 +84,11 @@
         """Until when the server is cold."""
         return self.cold_time.until
 
+    @property
+    def cold_limit_s(self) -> float:
+        """How long the server can stay cold, whatever it says."""
+        return cold_limit_s(self.cold_start_s)
+
     @property
     def is_usable(self) -> bool:
         """Whether the server may get new requests."""
@@ -117,7 +127,8 @@
 
     def release(self, connection: ClientConnection, now: float) -> None:
         """Return a connection to the pool, or discard it."""
-        if connection.reusable and not self.is_leaving:
+        is_current = connection.opened_at >= self.opened_since
+        if connection.reusable and is_current and not self.is_leaving:
             connection.idle_since = now
             self.idle.append(connection)
         else:
@@ -133,6 +144,49 @@
         while self.idle:
             self.discard(self.idle.pop())
 
+    def forget_permissions(self) -> None:
+        """Forget what permits sends and belongs to a process that has ended.
+
+        What restrains them (a limit, a pause, that the server is leaving)
+        stays until a record names the new start.
+        """
+        self.load.forget_reports()
+        self.answered_at = float("-inf")
+        self.keep_alive_s = KEEP_ALIVE_DEFAULT_S
+
+    def begin_process(self, server: Server, now: float) -> None:
+        """Apply the record of another process under the server's name.
+
+        Sends of the past second count on, since the rate of a cold server is
+        for all its starts together, and so does the later of the cold times.
+        """
+        # Others may lead to the process before, which may have ended without
+        # closing them.
+        is_noticed = self.process.noticed_at > float("-inf")
+        is_moved = server.address != self.server.address
+        since = self.process.noticed_at if is_noticed else now
+        self.close_opened_before(now if is_moved else since)
+        self.process.noticed_at = float("-inf")
+        self.server = server
+        self.health = ServerHealth(name=server.name, address=server.address)
+        self.forget_permissions()
+        self.load.run_ratio = 1.0
+        self.limit = NamedLimit()
+        self.bucket = LimitBucket()
+        self.leaving_since = None
+        self.paused_until = float("-inf")
+        self.misdirected_until = float("-inf")
+
+    def close_opened_before(self, time: float) -> None:
+        """Close older connections, those in use when they are released."""
+        self.opened_since = time
+        connections, self.idle = self.idle, collections.deque()
+        for connection in connections:
+            if connection.opened_at < time:
+                self.discard(connection)
+            else:
+                self.idle.append(connection)
+
     def is_stalled(self, now: float, limit_s: float) -> bool:
         """Return whether the oldest send has waited past the limit."""
         if not self.pending_sends:
@@ -176,9 +230,9 @@
             if server.zone not in regions:
                 continue
             seen.add(server.name)
-            row = self._row(server, regions[server.zone])
+            row = self._row(server, regions[server.zone], now)
             cold_start_s = routes.service(server.service).cold_s
-            row.cold_limit_s = cold_limit_s(cold_start_s)
+            row.cold_start_s = cold_start_s
             cold_left_s = min(server.cold_left_s, row.cold_limit_s)
             row.cold_time.recorded_until = changed_at + cold_left_s
             row.is_evacuated = server.zone in evacuated
@@ -191,15 +245,35 @@
             self.by_service.setdefault(row.server.service, []).append(row)
         self.generation += 1
 
-    def _row(self, server: Server, region: RegionName) -> ServerRow:
+    def _row(
+        self, server: Server, region: RegionName, now: float
+    ) -> ServerRow:
         row = self.rows.get(server.name)
-        if row is not None and _is_same_process(row.server, server):
+        if row is None:
+            row = self._unlisted.pop(server.name, None)
+        if row is None:
+            row = self._new_row(server, region)
+        self.rows[server.name] = row
+        row.region = region
+        if is_same_process(row.server, server):
             row.server = server
             return row
-        if row is not None:
-            row.close_idle()
-        before = row or self._unlisted.pop(server.name, None)
-        row = ServerRow(
+        _LOG.info(
+            "another process of a server",
+            extra={
+                "server": server.name,
+                "sign": ProcessSign.RECORD.value,
+                "started_ms": server.started_ms,
+                "before_started_ms": row.server.started_ms,
+                "noticed_ms_ago": _ms_ago(row.process.noticed_at, now),
+                "recent_sends": row.recent_sends.count(now),
+            },
+        )
+        row.begin_process(server, now)
+        return row
+
+    def _new_row(self, server: Server, region: RegionName) -> ServerRow:
+        return ServerRow(
             server=server,
             region=region,
             health=ServerHealth(name=server.name, address=server.address),
@@ -209,10 +283,6 @@
                 full_until=self._started_at + COLD_WINDOW_S,
             ),
         )
-        if before is not None:
-            _carry_over(before, row)
-        self.rows[server.name] = row
-        return row
 
     def _remove(self, names: Collection[ServerName], now: float) -> None:
         for name in names:
@@ -241,22 +311,11 @@
     )
 
 
-def _carry_over(old: ServerRow, new: ServerRow) -> None:
-    """Keep what still holds when a server's row is made again.
-
-    What was sent to the name counts also for a process that has just started
-    under it.
-    """
-    new.cold = old.cold
-    if _is_same_process(old.server, new.server):
-        new.limit = old.limit
-        new.bucket = old.bucket
-        new.cold_time = old.cold_time
-        new.leaving_since = old.leaving_since
-        new.paused_until = old.paused_until
+def _ms_ago(at: float, now: float) -> int | None:
+    return round(1000 * (now - at)) if at > float("-inf") else None
 
 
-def _is_same_process(old: Server, new: Server) -> bool:
+def is_same_process(old: Server, new: Server) -> bool:
     """Return whether two records describe the same server process.
 
     A server may restart under the same name.
