Hold what a restored store says through further listings

Cause: only the first listing of an era held records back; later ones, and late updates, were compared with the known record's revision of the old era and not with what was held.

A record or deletion that is held already is no news. Its time runs from the first listing; what is written or deleted in the new era counts at once.

tests.core.test_replica: test_second_listing_of_an_era_holds_as_well (five cases) and test_late_record_of_a_copy_is_held_as_well failed before (6 failures of 40 tests); test_deletion_after_a_restoration_is_in_force passes before and after.

--- a/chiverun/core/replica.py
+++ b/chiverun/core/replica.py
@@ -127,7 +127,11 @@
                 return item.record.version < known.version
         if era_of(item.revision) < era_of(self.as_of):
             return True
-        return row is not None and item.revision <= row.revision
+        if row is None:
+            return False
+        # What is held comes again with each listing of its era.
+        is_held = row.held is not None and item.revision <= row.held.revision
+        return is_held or item.revision <= row.revision
 
     def _merge(
         self,
@@ -198,6 +202,7 @@
             and row.record is not None
             and row.revision <= as_of
             and not isinstance(row.record, DesiredState)
+            and not _is_missing_in_copy(row, as_of)
         ]
         if self.as_of and era_of(as_of) > era_of(self.as_of):
             deleted = self._hold_back(deleted, now)
@@ -355,6 +360,19 @@
     return item.record != row.record and not is_later
 
 
+def _is_missing_in_copy(row: Row, as_of: Revision) -> bool:
+    """Return whether a copy is known to lack the row's record.
+
+    That the next listing of the same era lacks it too is no news.
+    """
+    held = row.held
+    return (
+        held is not None
+        and held.record is None
+        and era_of(held.revision) == era_of(as_of)
+    )
+
+
 def _tells_remaining_time(record: Record | None) -> bool:
     """Return whether a record means something else if written later."""
     return isinstance(record, Server) and record.cold_left_s > 0
--- a/tests/core/test_replica.py
+++ b/tests/core/test_replica.py
@@ -188,12 +188,19 @@
         item = _versioned("a", make_revision(era, revision), record)
         self.replica.apply([item], now=10.0)
 
-    def _list(self, era: int, revision: int, record: Record | None) -> None:
+    def _list(
+        self,
+        era: int,
+        revision: int,
+        record: Record | None,
+        *,
+        as_of: int = 5,
+        now: float = 10.0,
+    ) -> None:
         items = []
         if record is not None:
             items = [_versioned("a", make_revision(era, revision), record)]
-        as_of = make_revision(era, 5)
-        self.replica.replace(items, as_of, now=10.0)
+        self.replica.replace(items, make_revision(era, as_of), now=now)
 
     def _in_use(self) -> Record | None:
         return self.replica.rows["a"].record
@@ -234,6 +241,49 @@
         self.replica.release_held(before + 0.2)
         self.assertEqual(case.copied, self._in_use())
 
+    @params(
+        (_STARTED_AGAIN, _READY),
+        (_DRAINING, _READY),
+        (None, _READY),
+        (_EVACUATED, None),
+        (None, _EVACUATED),
+    )
+    def test_second_listing_of_an_era_holds_as_well(
+        self, known, copied
+    ) -> None:
+        """Guards against a gone process that gets requests again at once.
+
+        Another machine's snapshot, or a second read, lists the copy while its
+        records are held; their time runs from the first listing.
+        """
+        self._write(1, 3, copied or known)
+        self._write(1, 7, known)
+        self.replica.as_of = make_revision(1, 9)
+        self._list(2, 3, copied)
+        later = 10.0 + RESTORE_HOLD_S - 0.1
+        for revision in (5, 6):
+            self._list(2, 3, copied, as_of=revision, now=later)
+            self.assertEqual(known, self._in_use())
+            self.assertEqual(["a"], self.replica.held_keys())
+        self.replica.release_held(later + 0.2)
+        self.assertEqual(copied, self._in_use())
+
+    def test_late_record_of_a_copy_is_held_as_well(self) -> None:
+        """Guards against the same by an update that comes late."""
+        self._write(1, 7, _STARTED_AGAIN)
+        self.replica.as_of = make_revision(1, 9)
+        self._list(2, 3, _READY)
+        self._write(2, 3, _READY)
+        self.assertEqual(_STARTED_AGAIN, self._in_use())
+
+    def test_deletion_after_a_restoration_is_in_force(self) -> None:
+        """Guards against a server that is held although its record ended."""
+        self._write(1, 7, _DRAINING)
+        self.replica.as_of = make_revision(1, 9)
+        self._list(2, 3, _READY)
+        self._list(2, 3, None, as_of=6)
+        self.assertIsNone(self._in_use())
+
     @params(1, 2)
     def test_record_written_after_a_restoration_is_in_use(self, times) -> None:
         """Guards against news that is dropped for its low revision."""
