Count each end of a server whose record stays the same

A request that ends its server was sent on without end to a server that started again under its name while its record was late or the store silent: the server ended four times under four requests of one client, and none was refused with code 408.

Cause: an end was known by the server's name and the start time of its record only, so that the ends of all processes under one record were one.

tests.adapter.test_edge_suspects: test_server_that_starts_again_unseen_ends_twice_at_most failed before (4 ends instead of 2). The tests of the table and of two machines need the new argument and were not run on the old code.

--- a/chiverun/runtime/steering.py
+++ b/chiverun/runtime/steering.py
@@ -83,7 +83,7 @@
         metrics: EdgeMetrics,
         stop_progress: Callable[[], StopProgress | None],
         suspects: SuspectTable,
-        on_end: Callable[[Fingerprint, EndedServer, str], None],
+        on_end: Callable[[Fingerprint, EndedServer, str, float], None],
         quotas: AccountQuotas,
         arrivals: collections.Counter[ServiceName],
     ) -> None:
@@ -340,7 +340,10 @@
                 server=server.name, started_ms=server.started_ms
             )
             self._on_end(
-                request.fingerprint, ended, request.metadata.request_id
+                request.fingerprint,
+                ended,
+                request.metadata.request_id,
+                send.started_at,
             )
         elif isinstance(result.end, Answered):
             now = self._loop.time()
--- a/chiverun/runtime/suspectexchange.py
+++ b/chiverun/runtime/suspectexchange.py
@@ -33,11 +33,17 @@
         self._rng = random.Random(table.me.name)
 
     def record_end(
-        self, fingerprint: Fingerprint, server: EndedServer, request_id: str
+        self,
+        fingerprint: Fingerprint,
+        server: EndedServer,
+        request_id: str,
+        sent_at: float,
     ) -> None:
-        """Record that a server ended while it ran a request."""
+        """Record that a server ended under a request of `sent_at`."""
         now = self._loop.time()
-        if not self._suspects.record_end(fingerprint, server, now):
+        if not self._suspects.record_end(
+            fingerprint, server, now, sent_at=sent_at
+        ):
             return
         _LOG.warning(
             "server ended under request",
--- a/tests/adapter/test_edge_suspects.py
+++ b/tests/adapter/test_edge_suspects.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from chiverun.core.health import EJECT_S
 from standins.upstream import Upstream
 from tests.adapter.edgecase import build_request
 from tests.adapter.edgecase import call
@@ -56,6 +57,32 @@
         )
         self.assertEqual({200}, {r.status for r in others})
 
+    async def test_server_that_starts_again_unseen_ends_twice_at_most(
+        self,
+    ) -> None:
+        """Guards against a request that ends one server again and again.
+
+        The server starts again under its name, and its record stays that of
+        the process before.
+        """
+        server, *others = self.upstreams
+        self.upstreams = [server]
+        for upstream in others:
+            upstream.stop()
+        server.faults.deadly_target = _DEADLY
+        await self._start_until_ready()
+        ends = 0
+        for number in range(4):
+            response = await self._ask(_DEADLY, f"d{number}")
+            self.assertEqual(502, response.status)
+            if server.has_ended:
+                ends += 1
+                server.has_ended = False
+                await server.start()
+                await asyncio.sleep(EJECT_S + 0.1)
+        self.assertEqual(_ENDS_MAX, ends)
+        self.assertIn("X-Chiverun-Code: 408", response.head)
+
     async def test_popular_request_outlives_ordinary_crashes(self) -> None:
         """Guards against a popular object that everyone refuses.
 
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -6,6 +6,7 @@
 from nose2.tools import params
 
 from chiverun.core.suspects import ANSWERED_MAX
+from chiverun.core.suspects import END_MARGIN_S
 from chiverun.core.suspects import EndedServer
 from chiverun.core.suspects import fingerprint_of
 from chiverun.core.suspects import MEMORY_S
@@ -37,6 +38,41 @@
             self.table.record_end(_REQUEST, end, 10.0)
         self.assertEqual(is_blocked, self.table.is_blocked(_REQUEST, 10.0))
 
+    @params(
+        # When the send that met the second end began, after the first one was
+        # recorded at 10 s, and whether these are two ends.
+        (9.0, False),
+        (10.0 + END_MARGIN_S, False),
+        (10.1 + END_MARGIN_S, True),
+    )
+    def test_later_send_meets_another_process(
+        self, sent_at, is_blocked
+    ) -> None:
+        """Guards against a request that ends one server again and again.
+
+        The server starts again under its name, and no record tells so. Sends
+        that were under way when the process ended met the same end.
+        """
+        self.table.record_end(_REQUEST, _S1, 10.0, sent_at=9.5)
+        self.table.record_end(_REQUEST, _S1, 12.0, sent_at=sent_at)
+        self.assertEqual(is_blocked, self.table.is_blocked(_REQUEST, 12.0))
+
+    def test_told_ends_of_one_record_are_told_apart(self) -> None:
+        """Guards against machines that count another machine's end as theirs.
+
+        A machine that has heard of the first end sees the second one, and the
+        first machine hears of that.
+        """
+        other = SuspectTable()
+        self.table.record_end(_REQUEST, _S1, 10.0, sent_at=9.5)
+        for end in self.table.ends(_REQUEST):
+            other.record_end(_REQUEST, end, 10.0)
+        other.record_end(_REQUEST, _S1, 12.0, sent_at=11.5)
+        for end in other.ends(_REQUEST):
+            self.table.record_end(_REQUEST, end, 12.0)
+        for table in (self.table, other):
+            self.assertTrue(table.is_blocked(_REQUEST, 12.0))
+
     def test_answered_request_is_not_blocked(self) -> None:
         """Guards against a popular request that everyone refuses."""
         self.table.record_end(_REQUEST, _S1, 10.0)
--- a/tests/runtime/test_steering.py
+++ b/tests/runtime/test_steering.py
@@ -126,7 +126,7 @@
             metrics=EdgeMetrics(),
             stop_progress=lambda: progress[-1] if progress else None,
             suspects=SuspectTable(),
-            on_end=lambda fingerprint, server, request_id: None,
+            on_end=lambda fingerprint, server, request_id, sent_at: None,
             quotas=Unlimited(),
             arrivals=collections.Counter(),
         )
--- a/tests/runtime/test_suspectexchange.py
+++ b/tests/runtime/test_suspectexchange.py
@@ -33,6 +33,7 @@
                 _REQUEST,
                 EndedServer(server=f"s{number}", started_ms=1),
                 "r1",
+                self.fleet.clock.time(),
             )
 
     def _assert_all_block(self) -> None:
@@ -45,6 +46,33 @@
         self.fleet.run(_TOLD_S)
         self._assert_all_block()
 
+    # Guards against a server that ends under the request again and again, on
+    # another machine each time, while its record stays the same.
+    def test_ends_of_one_record_add_up(self) -> None:
+        for name in ("a-000", "b-001"):
+            self.fleet.suspects[name].record_end(
+                _REQUEST,
+                EndedServer(server="s1", started_ms=1),
+                "r1",
+                self.fleet.clock.time(),
+            )
+            self.fleet.run(_TOLD_S)
+        self._assert_all_block()
+
+    # Guards against one end that counts twice, since both machines had sent
+    # the request to the process.
+    def test_end_seen_by_two_machines_is_one(self) -> None:
+        sent_at = self.fleet.clock.time()
+        for name in ("a-000", "b-001"):
+            self.fleet.suspects[name].record_end(
+                _REQUEST,
+                EndedServer(server="s1", started_ms=1),
+                "r1",
+                sent_at,
+            )
+            self.fleet.run(_TOLD_S)
+        self.assertEqual(set(), set(self.fleet.blocking(_REQUEST)))
+
     # Guards against machines that have just started and send the request to
     # two more servers each.
     def test_started_machines_hear_of_earlier_ends(self) -> None:
