Close kept connections to addresses that servers have left

A server that starts again at another address left up to its number of kept connections half closed for ever, so that an instance would run out of file descriptors and refuse callers.

Cause: a kept connection that its server has closed was found only by the next exchange with the same address.

The first kept connection of an address now also closes those that other servers have closed.

--- a/chiverun/integrations/backend.py
+++ b/chiverun/integrations/backend.py
@@ -142,11 +142,29 @@
 
     def _release(self, address: Address, conn: DeadlineConnection) -> None:
         with self._lock:
+            # Otherwise connections to addresses that are not used any more
+            # stay half closed for ever.
+            dropped = [] if address in self._idle else self._pop_closed()
             idle = self._idle.setdefault(address, [])
             if len(idle) < self._connections:
                 idle.append(conn)
-                return
-        conn.close()
+            else:
+                dropped.append(conn)
+        for other in dropped:
+            other.close()
+
+    def _pop_closed(self) -> list[DeadlineConnection]:
+        """Remove the idle connections that their servers have closed."""
+        closed = []
+        for address, conns in list(self._idle.items()):
+            found = [conn for conn in conns if not conn.is_connected]
+            if found:
+                closed += found
+                rest = [conn for conn in conns if conn not in found]
+                self._idle[address] = rest
+                if not rest:
+                    del self._idle[address]
+        return closed
 
 
 def _send(
--- a/tests/integrations/test_backend.py
+++ b/tests/integrations/test_backend.py
@@ -371,6 +371,19 @@
         self.assertTrue(server.connection_ended.wait(10))
         self.assertIsInstance(self._exchange(server.address, 2), Answered)
 
+    def test_connections_of_a_gone_address_are_closed(self):
+        """Guards against sockets kept for addresses that servers have left.
+
+        A server that starts again at another address leaves some each time.
+        """
+        before = self._server([_COMPLETE])
+        self._exchange(before.address)
+        (kept,) = self.backends._idle[before.address]
+        self.assertTrue(before.connection_ended.wait(10))
+        self._exchange(self._server([_COMPLETE]).address, 2)
+        self.assertIsNone(kept.sock)
+        self.assertNotIn(before.address, self.backends._idle)
+
     def test_kept_connection_closed_while_writing(self):
         """Guards against sending a request twice or reporting it not run."""
         server = self._server([_COMPLETE, _RESET], [_COMPLETE])
