Check by table which connections responses cover

The state machine that explores processes and connections passed when a connection was covered for a second too long (tried by hand), so this bound was not tested. The table fails with that change.

--- a/tests/core/test_serverprocess.py
+++ b/tests/core/test_serverprocess.py
@@ -1,6 +1,7 @@
 """Tests of which process of a server its connections lead to."""
 
 import dataclasses
+import unittest
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -8,6 +9,7 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
+from nose2.tools import params
 
 from chiverun.core.serverprocess import KnownProcess
 from chiverun.core.serverprocess import TRANSIT_MAX_S
@@ -192,3 +194,40 @@
         deadline=None,
         derandomize=True,
     )
+
+
+class KnownProcessTest(unittest.TestCase):
+    @params(
+        # When a connection was opened, a request was sent on it and the
+        # response arrived; until when connections are covered then. The
+        # process was asked at 10 s.
+        (9.0, 10.1, 11.0, 11.0 - TRANSIT_MAX_S),
+        (9.0, 10.9, 11.0, 10.9),
+        (10.0, 10.1, 10.2, 10.1),
+        # Not covered, and too young to be warm.
+        (10.1, 10.2, 11.0, 10.0),
+        (10.1, 10.0 + _COLD_START_S, 13.5, 10.0),
+        # The process is older than its cold time.
+        (10.1, 10.1 + _COLD_START_S, 13.2, 10.1 + _COLD_START_S),
+    )
+    def test_responses_cover_connections(
+        self, opened_at, sent_at, arrived_at, covered_until
+    ) -> None:
+        """Guards against unchecked connections to a process that is cold."""
+        process = KnownProcess()
+        process.confirm(10.0)
+        process.apply_response(
+            opened_at,
+            sent_at=sent_at,
+            now=arrived_at,
+            cold_start_s=_COLD_START_S,
+        )
+        self.assertTrue(process.covers(covered_until))
+        self.assertFalse(process.covers(covered_until + 0.01))
+
+    def test_refused_connection_uncovers_all(self) -> None:
+        """Guards against sends to a new process as to the one before."""
+        process = KnownProcess()
+        process.confirm(10.0)
+        process.notice_end(11.0)
+        self.assertFalse(process.covers(9.0))
