Repeat a check of a server whose client has left

Callers saw (by test): requests that waited for another one's check of a server were sent elsewhere, or refused, when the client of that one left. Cause: a cancelled check counted as failed. Now one of those that wait asks again, and the time that they have waited counts towards their limit.

tests.runtime.test_processchecks: test_check_of_a_client_that_leaves_is_repeated failed before; the three others passed.

--- a/chiverun/runtime/processchecks.py
+++ b/chiverun/runtime/processchecks.py
@@ -48,7 +48,7 @@
         self._processes = processes
         self._routes = routes
         self._loop = asyncio.get_running_loop()
-        # Whether the server answered the check in progress.
+        # Whether the check in progress has failed.
         self._running: dict[ServerName, asyncio.Future[bool]] = {}
 
     async def admit(
@@ -101,20 +101,24 @@
         A check covers the connections that were open when it was sent.
         """
         name = row.server.name
-        async with asyncio.timeout(None) as limit:
-            limit.reschedule(self._loop.time() + timeout_s)
+        deadline = self._loop.time() + timeout_s
+        async with asyncio.timeout(timeout_s):
             while (running := self._running.get(name)) is not None:
-                if not await asyncio.shield(running):
+                if await asyncio.shield(running):
                     return False
                 if self._is_safe(row, connection, self._loop.time()):
                     return True
         running = self._running[name] = self._loop.create_future()
-        is_answered = False
+        has_failed = False
         try:
-            is_answered = await self._ask(row, connection, ask, timeout_s)
+            is_answered = await self._ask(
+                row, connection, ask, deadline - self._loop.time()
+            )
+            has_failed = not is_answered
         finally:
             del self._running[name]
-            running.set_result(is_answered)
+            # After a cancellation, one of those that wait asks again.
+            running.set_result(has_failed)
         return is_answered and connection.reusable
 
     async def _ask(
