Keep the window of sends while a record lapses

Cause: a row was kept for the sends that were chosen in the window, not for those that were made in it or were still to come. Also, a late response of a process that has been seen to have ended covered connections to the next one, and the time since which connections count could go back.

tests.runtime.test_servertable: test_lapsed_record_keeps_the_window_of_sends failed before in both cases; test_connections_of_an_ended_process_are_not_current needs the new method, so it could not pass before.

--- a/chiverun/core/coldlimit.py
+++ b/chiverun/core/coldlimit.py
@@ -55,6 +55,10 @@
         """Return the sends within the window that ends at `now`."""
         return self._sends.count(now)
 
+    def restricted_sends(self, now: float) -> int:
+        """Return the restricted sends within the window."""
+        return self._restricted.count(now)
+
     def allows(
         self, now: float, per_s: float, machines: Collection[str]
     ) -> bool:
--- a/chiverun/runtime/sending.py
+++ b/chiverun/runtime/sending.py
@@ -315,7 +315,7 @@
             )
             if isinstance(result.end, Mismatched | Incomplete):
                 connection.abort()
-            elif result.metadata is not None:
+            elif result.metadata is not None and row.is_current(connection):
                 row.process.apply_response(
                     connection.opened_at,
                     sent_at=sent_at,
--- a/chiverun/runtime/servertable.py
+++ b/chiverun/runtime/servertable.py
@@ -125,10 +125,14 @@
             self.discard(connection)
         return None
 
+    def is_current(self, connection: ClientConnection) -> bool:
+        """Return whether a connection may lead to the latest process."""
+        return connection.opened_at >= self.opened_since
+
     def release(self, connection: ClientConnection, now: float) -> None:
         """Return a connection to the pool, or discard it."""
-        is_current = connection.opened_at >= self.opened_since
-        if connection.reusable and is_current and not self.is_leaving:
+        is_usable = connection.reusable and self.is_current(connection)
+        if is_usable and not self.is_leaving:
             connection.idle_since = now
             self.idle.append(connection)
         else:
@@ -179,7 +183,7 @@
 
     def close_opened_before(self, time: float) -> None:
         """Close older connections, those in use when they are released."""
-        self.opened_since = time
+        self.opened_since = max(self.opened_since, time)
         connections, self.idle = self.idle, collections.deque()
         for connection in connections:
             if connection.opened_at < time:
@@ -307,6 +311,9 @@
         row.limit.in_force(now) is not None
         or now < max(row.cold_until, row.paused_until)
         or row.cold.recent_sends(now) > 0
+        # Their sends count when they are made, and may still be to come.
+        or row.cold.restricted_sends(now) > 0
+        or bool(row.pending_sends)
         or (since is not None and now - since < LEAVING_MEMORY_S)
     )
 
--- a/tests/runtime/test_servertable.py
+++ b/tests/runtime/test_servertable.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 import msgspec
 from nose2.tools import params
@@ -83,3 +84,29 @@
         server = msgspec.structs.replace(_SERVER, started_ms=started_ms)
         self._sync(server, 12.0)
         self.assertEqual(is_usable, self.table.rows["s1"].is_usable)
+
+    @params("restricted", "pending")
+    def test_lapsed_record_keeps_the_window_of_sends(self, sends) -> None:
+        """Guards against a second part for a server whose record returns.
+
+        A send that was chosen earlier counts when it is made.
+        """
+        self._sync(_SERVER, 10.0)
+        row = self.table.rows["s1"]
+        if sends == "restricted":
+            row.cold.record_restricted(11.0)
+        else:
+            row.begin_send(1, 10.0)
+        self._sync(None, 11.5)
+        self._sync(_SERVER, 11.6)
+        self.assertIs(row, self.table.rows["s1"])
+
+    def test_connections_of_an_ended_process_are_not_current(self) -> None:
+        """Guards against a late response that stands for a new process."""
+        self._sync(_SERVER, 10.0)
+        row = self.table.rows["s1"]
+        row.close_opened_before(12.0)
+        row.close_opened_before(11.0)
+        for opened_at, is_current in ((11.5, False), (12.5, True)):
+            connection = mock.Mock(opened_at=opened_at)
+            self.assertEqual(is_current, row.is_current(connection))
