Let a stand-in that starts again serve as another process

The test of repeated ends of one server was listed as known red with a wrong description: no request was held back. The log shows the later requests being sent and reset within 3 ms: since the stand-in tells its processes apart, start() after end() left the process that had ended in charge of the new connections, which it closed at once.

With the numbering of ends switched off by hand the test fails with 4 ends instead of 2.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -136,7 +136,10 @@
         return json.dumps({**body, **changes}).encode()
 
     async def start(self) -> None:
-        """Listen at the address."""
+        """Listen at the address, as another process if the last has ended."""
+        if self.processes[-1].ended_at < float("inf"):
+            now = asyncio.get_running_loop().time()
+            self.processes.append(UpstreamProcess(started_at=now))
         # Bound before the first wait: a restart without a pause refuses no
         # connection.
         sock = socket.socket()
@@ -176,10 +179,9 @@
         self._end_process(kind)
         if down_s:
             await asyncio.sleep(down_s)
-        now = asyncio.get_running_loop().time()
-        process = UpstreamProcess(started_at=now, cold_until=now + cold_s)
-        self.processes.append(process)
         await self.start()
+        process = self.processes[-1]
+        process.cold_until = process.started_at + cold_s
         return process
 
     def _end_process(self, kind: RestartKind) -> None:
